--- /dev/null
+++ b/run.py
@@ -0,0 +1,13 @@
+#!/usr/bin/env python3
+"""Start ryewing from a checkout: the libraries are in target/deps, the package in src."""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent
+sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "deps")]
+
+from ryewing.cli import main  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/ryewing/api.py
@@ -0,0 +1,395 @@
+"""The HTTP interface: users, workers and health checks.
+
+Nothing is held back here. What can't be decided or taken now is refused at once, with the time
+after which it makes sense to ask again.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+import re
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import msgspec
+from gevent import socket
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from .jobs import (
+    CANCELLED,
+    DONE,
+    FinalRecord,
+    JobRecord,
+    final_key,
+    impossible,
+    live_key,
+)
+from .store import Put, StoreDown, Throttled
+from .units import JobId, Stamp, Steady, is_job_id, steady_now, wall_now
+from .wire import BODY_LIMIT, Malformed, RunStatus, read_object, read_report, read_run
+
+if TYPE_CHECKING:
+    from .node import Node
+
+log = logging.getLogger("ryewing.api")
+Headers = list[tuple[str, str]]
+StartResponse = Callable[[str, Headers], object]
+
+FINALS_KEPT = 20_000
+SUBMITS_AT_ONCE = 64
+STORE_READS_AT_ONCE = 24
+BODY_S = 5.0
+_RUN_PATH = re.compile(r"/v2/runs/([^/]+)(/cancel)?")
+_STATUS_LINES = {
+    200: "200 OK",
+    201: "201 Created",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    405: "405 Method Not Allowed",
+    413: "413 Content Too Large",
+    421: "421 Misdirected Request",
+    422: "422 Unprocessable Content",
+    503: "503 Service Unavailable",
+}
+
+
+class Response(Exception):
+    """An answer, also usable to leave a handler early."""
+
+    def __init__(self, status: int, body: object, headers: Headers | None = None) -> None:
+        super().__init__(status)
+        self.status = status
+        self.body = msgspec.json.encode(body)
+        self.headers = headers or []
+
+
+class Finals:
+    """Final states that were seen, which never change; bounded."""
+
+    def __init__(self, kept: int = FINALS_KEPT) -> None:
+        self._kept = kept
+        self._states: OrderedDict[JobId, str] = OrderedDict()
+
+    def put(self, job: JobId, status: str) -> None:
+        """Remember a final state."""
+        self._states[job] = status
+        self._states.move_to_end(job)
+        if len(self._states) > self._kept:
+            self._states.popitem(last=False)
+
+    def get(self, job: JobId) -> str | None:
+        """Recall a final state."""
+        return self._states.get(job)
+
+
+class Api:
+    """Routes requests and answers them."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._submits = 0
+        self._reads = 0
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Answer one request (WSGI)."""
+        try:
+            response = self._route(environ)
+        except Response as early:
+            response = early
+        except Exception:
+            log.exception("event=request-failed path=%s", environ.get("PATH_INFO"))
+            response = self._busy("internal error")
+        headers: Headers = [("Content-Type", "application/json"), *response.headers]
+        start(_STATUS_LINES[response.status], headers)
+        return [response.body]
+
+    def _route(self, environ: dict[str, Any]) -> Response:
+        path = environ["PATH_INFO"]
+        method = environ["REQUEST_METHOD"]
+        if path == "/v1/report":
+            _only(method, "POST")
+            return self._report(_body(environ))
+        if path == "/healthz":
+            _only(method, "GET")
+            return self._health()
+        if path == "/v2/runs":
+            _only(method, "POST")
+            return self._submit(_body(environ))
+        match = _RUN_PATH.fullmatch(path)
+        if match is None:
+            return Response(404, {"error": "no such path"})
+        name, cancel = match.groups()
+        _only(method, "POST" if cancel else "GET")
+        if cancel:
+            _body(environ)
+        if not is_job_id(name):
+            return Response(404, {"error": "no such job"})
+        job = JobId(name)
+        return self._cancel(job) if cancel else self._poll(job)
+
+    def _busy(self, why: str, retry_s: float | None = None) -> Response:
+        wait = self._node.policy.retry_after_s if retry_s is None else retry_s
+        header = ("Retry-After", str(max(1, math.ceil(wait))))
+        return Response(503, {"error": why}, [header])
+
+    # -- health and workers -----------------------------------------------------------------
+
+    def _health(self) -> Response:
+        if self._node.healthy():
+            return Response(200, {"status": "ok"})
+        return self._busy("can't take requests now")
+
+    def _report(self, body: bytes) -> Response:
+        try:
+            report = read_report(body)
+        except Malformed as error:
+            return Response(400, {"error": str(error)})
+        leader = self._node.leader
+        if leader is not None:
+            answer = leader.on_report(report)
+            if answer is not None:
+                return Response(200, answer)
+        name = self._node.foreign_leader()
+        if name is None:
+            return self._busy("no leader is known")
+        return Response(421, {"foreman": name})
+
+    # -- users ------------------------------------------------------------------------------
+
+    def _submit(self, body: bytes) -> Response:
+        try:
+            ref = read_object(body).get("ref")
+        except Malformed as error:
+            return Response(400, {"error": str(error)})
+        if not is_job_id(ref):
+            return Response(400, {"error": "ref: not a job id"})
+        job = JobId(str(ref))
+        known = self._from_memory(job)
+        if known is not None:
+            return Response(200, known)
+        node = self._node
+        refusal: Response | None = None
+        try:
+            run = read_run(body)
+        except Malformed as error:
+            refusal = Response(400, {"error": str(error)})
+        else:
+            flavours = node.known_flavours()
+            if not flavours:
+                return self._busy("the machine types are not known yet")
+            why = impossible(run, flavours, node.teams)
+            if why is not None:
+                refusal = Response(422, {"error": why})
+            elif run.flavours is not None:
+                run.flavours = [name for name in run.flavours if name in flavours]
+        if refusal is not None:
+            # A known job is known whatever a repeat of its submission looks like.
+            state = self._from_store(job)
+            return refusal if state is None else Response(200, state)
+        if self._submits >= SUBMITS_AT_ONCE:
+            return self._busy("too many submissions at once")
+        self._submits += 1
+        try:
+            return self._accept(job, JobRecord(run, wall_now()))
+        finally:
+            self._submits -= 1
+
+    def _accept(self, job: JobId, record: JobRecord) -> Response:
+        """Write the job if it is new. What a user is told is in the store first."""
+        conditions = {live_key(job): Stamp(0), final_key(job): Stamp(0)}
+        writes = [Put(live_key(job), record)]
+        if len(msgspec.json.encode(record)) > self._node.store.limits.value_kb * 1024:
+            return Response(400, {"error": "too large to be kept"})
+        until = Steady(steady_now() + 0.6)
+        while True:
+            try:
+                result = self._node.store.txn(conditions, writes)
+                break
+            except Throttled:
+                if steady_now() >= until:
+                    return self._busy("the state service is busy")
+                gevent.sleep(0.08)
+            except StoreDown as error:
+                log.debug("event=accept-failed job=%s error=%s", job, error)
+                return self._busy("the state service can't be reached")
+        if result.ok:
+            log.info(
+                "event=accepted job=%s class=%s tasks=%d",
+                job,
+                record.run.jobclass,
+                record.run.pieces,
+            )
+            return Response(201, RunStatus(job, "queued"))
+        state = self._from_store(job)
+        if state is None:
+            return self._busy("changed just now")
+        return Response(200, state)
+
+    def _poll(self, job: JobId) -> Response:
+        state = self._from_memory(job) or self._node.ask_leader(job) or self._from_store(job)
+        if state is None:
+            return Response(404, {"error": "no such job"})
+        return Response(200, state)
+
+    def _from_memory(self, job: JobId) -> RunStatus | None:
+        final = self._node.finals.get(job)
+        if final is not None:
+            return RunStatus(job, final)
+        leader = self._node.leader
+        return leader.poll(job) if leader is not None else None
+
+    def _from_store(self, job: JobId) -> RunStatus | None:
+        """Read a job's state; None if it was never accepted. Leaves with 503 if it can't."""
+        try:
+            live = self._read(live_key(job))
+            if live is not None:
+                record = msgspec.json.decode(live.data, type=JobRecord)
+                return RunStatus(job, CANCELLED if record.cancelled else "queued")
+            # In this order: a job moves from one key to the other, never back.
+            final = self._read(final_key(job))
+        except StoreDown:
+            raise self._busy("the state service can't be reached") from None
+        if final is None:
+            return None
+        status = msgspec.json.decode(final.data, type=FinalRecord).status
+        self._node.finals.put(job, status)
+        return RunStatus(job, status)
+
+    def _read(self, key: str) -> Any:
+        if self._reads >= STORE_READS_AT_ONCE:
+            raise self._busy("too many requests at once")
+        self._reads += 1
+        try:
+            return self._node.store.get(key)
+        finally:
+            self._reads -= 1
+
+    def _cancel(self, job: JobId) -> Response:
+        """Mark the job cancelled, unless it is done; answer once nobody can say otherwise."""
+        for _ in range(4):
+            final = self._node.finals.get(job)
+            if final is not None:
+                return Response(200, RunStatus(job, final))
+            try:
+                entry = self._read(live_key(job))
+                if entry is None:
+                    state = self._from_store(job)
+                    if state is None:
+                        return Response(404, {"error": "no such job"})
+                    if state.status in (DONE, CANCELLED):
+                        return Response(200, state)
+                    continue
+                record = msgspec.json.decode(entry.data, type=JobRecord)
+                if not record.cancelled:
+                    record.cancelled = True
+                    result = self._node.store.txn(
+                        {live_key(job): Stamp(entry.stamp)}, [Put(live_key(job), record)]
+                    )
+                    if not result.ok:
+                        continue
+                    log.info("event=cancel-accepted job=%s", job)
+                if not self._node.tell_cancel(job):
+                    return self._busy("the cancel is written but the leader has not heard it")
+            except StoreDown:
+                return self._busy("the state service can't be reached")
+            self._node.finals.put(job, CANCELLED)
+            return Response(200, RunStatus(job, CANCELLED))
+        return self._busy("changed just now")
+
+
+def _only(method: str, allowed: str) -> None:
+    if method != allowed:
+        raise Response(405, {"error": f"use {allowed}"}, [("Allow", allowed)])
+
+
+def _body(environ: dict[str, Any]) -> bytes:
+    stream = environ["wsgi.input"]
+    try:
+        with gevent.Timeout(BODY_S, TimeoutError("body")):
+            body: bytes = stream.read(BODY_LIMIT + 1)
+    except TimeoutError:
+        raise Response(400, {"error": "the body did not come"}, [("Connection", "close")]) from None
+    if len(body) > BODY_LIMIT:
+        raise Response(413, {"error": "body above 64 KiB"}, [("Connection", "close")])
+    return body
+
+
+class _TooLarge(ValueError):
+    """The request says that its body is above the limit."""
+
+
+class _Handler(WSGIHandler):  # type: ignore[misc]
+    """One connection: knows whether it is idle, and refuses large bodies unread."""
+
+    def read_requestline(self) -> Any:
+        self.server.idle(self)
+        line = super().read_requestline()
+        self.server.busy(self)
+        return line
+
+    def read_request(self, raw_requestline: str) -> Any:
+        result = super().read_request(raw_requestline)
+        if self.content_length is not None and self.content_length > BODY_LIMIT:
+            raise _TooLarge
+        return result
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        if isinstance(ex, _TooLarge):
+            status, body = _STATUS_LINES[413], b'{"error":"body above 64 KiB"}'
+        else:
+            status, body = _STATUS_LINES[400], b'{"error":"malformed request"}'
+        head = (
+            f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        return status[:3], head.encode("ascii") + body
+
+    def log_request(self) -> None:
+        """Requests are logged by what they do, not by line."""
+
+
+class ApiServer(WSGIServer):  # type: ignore[misc]
+    """A WSGI server that keeps its connections within bounds.
+
+    When there are too many, the one that has been idle longest goes, so that a crowd of idle
+    users can't keep workers out.
+    """
+
+    def __init__(self, address: tuple[str, int], api: Api, connections: int) -> None:
+        super().__init__(address, api, handler_class=_Handler, log=None, error_log=log, backlog=256)
+        self._limit = connections
+        self._open = 0
+        self._idle: OrderedDict[_Handler, None] = OrderedDict()
+
+    def idle(self, handler: _Handler) -> None:
+        """A connection waits for its next request."""
+        self._idle[handler] = None
+
+    def busy(self, handler: _Handler) -> None:
+        """A connection has a request."""
+        self._idle.pop(handler, None)
+
+    def handle(self, sock: Any, address: Any) -> None:
+        """Serve one connection until it ends."""
+        if self._open >= self._limit:
+            if not self._idle:
+                sock.close()
+                return
+            oldest, _ = self._idle.popitem(last=False)
+            stale = getattr(oldest, "socket", None)
+            if stale is not None:
+                try:
+                    stale.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+        self._open += 1
+        handler = _Handler(sock, address, self)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            handler.handle()
+        finally:
+            self._open -= 1
+            self._idle.pop(handler, None)
--- /dev/null
+++ b/src/ryewing/cloud.py
@@ -0,0 +1,84 @@
+"""The client of the cloud: renting, returning and listing machines."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from typing import TypeVar
+
+import msgspec
+
+from .budget import Budget
+from .settings import Address, CloudLimits
+from .transport import HttpClient, Reply, Unreachable
+from .units import MachineId
+from .wire import Flavour, FlavourList, Hire, HostPage, Hosts, ListedHost
+
+DEADLINE_S = 4.0
+RENT_MAX = 50
+RELEASE_MAX = 100
+T = TypeVar("T")
+
+
+class CloudDown(Exception):
+    """The cloud did not answer, or would not now; a request may still be executed."""
+
+
+class NoCapacity(Exception):
+    """None of this type, zone and kind can be had."""
+
+
+class Cloud:
+    """Requests to the cloud, within the rate that it takes."""
+
+    def __init__(self, address: Address, limits: CloudLimits) -> None:
+        self._http = HttpClient(address, 2)
+        # Only the leader asks, but two leaders can overlap for a moment: leave it some room.
+        self.budget = Budget(0.8 * limits.rps, limits.rps)
+
+    def _ask(self, method: str, path: str, body: bytes | None = None) -> Reply:
+        if not self.budget.take():
+            raise CloudDown("own budget is used up")
+        try:
+            reply = self._http.request(method, path, body, DEADLINE_S)
+        except Unreachable as error:
+            raise CloudDown(str(error)) from None
+        if reply.status == 429:
+            self.budget.drain()
+            raise CloudDown("429")
+        if reply.status == 503 and b"no capacity" in reply.body:
+            raise NoCapacity
+        if reply.status != 200:
+            raise CloudDown(f"{reply.status}: {reply.body[:200]!r}")
+        return reply
+
+    def flavours(self) -> list[Flavour]:
+        """Read the machine types, with the prices of now."""
+        return _decode(self._ask("GET", "/machine_types"), FlavourList).flavours
+
+    def rent(self, hire: Hire) -> list[MachineId]:
+        """Rent machines; repeating the same request rents nothing more."""
+        reply = self._ask("POST", "/machines", msgspec.json.encode(hire))
+        return [MachineId(name) for name in _decode(reply, Hosts).hosts]
+
+    def release(self, machines: Sequence[MachineId]) -> None:
+        """Return machines; when this returns, they and everything on them are gone."""
+        body = msgspec.json.encode(Hosts([str(m) for m in machines[:RELEASE_MAX]]))
+        self._ask("POST", "/machines/release", body)
+
+    def machines(self) -> Iterator[ListedHost]:
+        """List the machines, as of some seconds ago."""
+        since = ""
+        while True:
+            path = "/machines?page=500" + (f"&since={since}" if since else "")
+            page = _decode(self._ask("GET", path), HostPage)
+            yield from page.hosts
+            if not page.has_next or not page.hosts:
+                return
+            since = page.hosts[-1].ref
+
+
+def _decode(reply: Reply, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise CloudDown(f"unreadable answer: {error}") from None
--- /dev/null
+++ b/src/ryewing/fleet.py
@@ -0,0 +1,184 @@
+"""Which machines to rent and to return.
+
+Pure: what is short, what is there and the clock go in; wishes come out. The leader turns them
+into requests, whose names and answers are recorded so that nothing is rented twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from .jobs import Job, fits_flavour
+from .picture import Machine
+from .policy import Policy
+from .units import Steady
+from .wire import Flavour, Run
+
+Option = tuple[str, str, bool]
+"""Type, zone, spot."""
+
+NO_CAPACITY_S = 20.0
+NO_CAPACITY_MAX_S = 120.0
+MINIMUM_CHARGE_S = 60.0
+
+
+class Shelf:
+    """What the cloud was seen not to have, and until when it isn't asked again."""
+
+    def __init__(self) -> None:
+        self._until: dict[Option, Steady] = {}
+        self._pause: dict[Option, float] = {}
+
+    def refused(self, option: Option, now: Steady) -> None:
+        """There was none; back off, longer each time."""
+        pause = self._pause.get(option, 0.5 * NO_CAPACITY_S) * 2
+        pause = min(pause, NO_CAPACITY_MAX_S)
+        self._pause[option] = pause
+        self._until[option] = Steady(now + pause)
+
+    def got(self, option: Option) -> None:
+        """There was some."""
+        self._pause.pop(option, None)
+        self._until.pop(option, None)
+
+    def open(self, option: Option, now: Steady) -> bool:
+        """Tell whether it is worth asking."""
+        return now >= self._until.get(option, Steady(0.0))
+
+
+class Wish:
+    """Machines to be rented: the options from the best on, and how many."""
+
+    __slots__ = ("count", "job", "options")
+
+    def __init__(self, options: list[Option], count: int, job: Job) -> None:
+        self.options = options
+        self.count = count
+        self.job = job
+
+
+def per_machine(run: Run, flavour: Flavour) -> int:
+    """Tell how many tasks of a job an empty machine takes."""
+    if not fits_flavour(run, flavour):
+        return 0
+    most = run.pieces
+    for need, have in (
+        (run.vcpus, flavour.vcpus),
+        (run.cards, flavour.cards),
+        (run.mem_gb, flavour.mem_gb),
+    ):
+        if need > 0:
+            most = min(most, int((have + 1e-6) / need))
+    return most
+
+
+def price(flavour: Flavour, spot: bool) -> float:
+    """Give the price an hour; a type without a spot price can't be had as spot."""
+    if not spot:
+        return flavour.price
+    return flavour.spot_price if flavour.spot_price is not None else flavour.price
+
+
+def options_for(job: Job, flavours: dict[str, Flavour], shelf: Shelf, now: Steady) -> list[Option]:
+    """List what could be rented for a job, the best first.
+
+    By the price of one task's place; what boots or fetches much slower than it saves is left
+    to the order of prices, since the price difference between types is larger.
+    """
+    run = job.run
+    scored: list[tuple[float, Option]] = []
+    for flavour in flavours.values():
+        if run.flavours is not None and flavour.sku not in run.flavours:
+            continue
+        # Counted as if the job filled the machine: others will use the rest.
+        places = per_machine(run, flavour)
+        if places == 0:
+            continue
+        share = max(
+            run.vcpus / flavour.vcpus if flavour.vcpus else 0.0,
+            run.cards / flavour.cards if flavour.cards else 0.0,
+            run.mem_gb / flavour.mem_gb if flavour.mem_gb else 0.0,
+        )
+        if flavour.cards and not run.cards:
+            share *= 4.0  # cards left idle are dear; only if nothing else can be had
+        for site in flavour.sites:
+            if run.site is not None and site != run.site:
+                continue
+            for spot in (True, False):
+                if spot and (not run.loaner or flavour.spot_price is None):
+                    continue
+                option = (flavour.sku, site, spot)
+                if shelf.open(option, now):
+                    scored.append((share * price(flavour, spot), option))
+    scored.sort()
+    return [option for _score, option in scored]
+
+
+def wishes(
+    short: Sequence[tuple[Job, int]],
+    booting: Sequence[Machine],
+    flavours: dict[str, Flavour],
+    shelf: Shelf,
+    policy: Policy,
+    now: Steady,
+) -> list[Wish]:
+    """Turn what is short into machines to rent, beyond those that are booting."""
+    room = [[m.flavour.vcpus, m.flavour.cards, m.flavour.mem_gb] for m in booting]
+    result: list[Wish] = []
+    for job, count in short:
+        run = job.run
+        left = count
+        for machine, free in zip(booting, room, strict=True):
+            if left <= 0:
+                break
+            if (
+                (run.flavours is not None and machine.flavour.sku not in run.flavours)
+                or (run.site is not None and machine.site != run.site)
+                or (machine.loaner and not run.loaner)
+            ):
+                continue
+            fit = left
+            for need, have in zip((run.vcpus, run.cards, run.mem_gb), free, strict=True):
+                if need > 0:
+                    fit = min(fit, int((have + 1e-6) / need))
+            if fit <= 0:
+                continue
+            free[0] -= run.vcpus * fit
+            free[1] -= run.cards * fit
+            free[2] -= run.mem_gb * fit
+            left -= fit
+        if left <= 0:
+            continue
+        options = options_for(job, flavours, shelf, now)
+        if not options:
+            continue
+        places = per_machine(run, flavours[options[0][0]])
+        machines = -(-left // places)
+        if not job.gang:
+            # An array needs no place of its own for every task: enough that it drains in time.
+            rounds = max(1.0, policy.drain_target_s / job.estimate_s())
+            machines = max(1, round(left / places / rounds))
+        result.append(Wish(options, machines, job))
+    return result
+
+
+def to_return(
+    machines: Iterable[Machine], waiting: Sequence[tuple[Job, int]], policy: Policy, now: Steady
+) -> list[Machine]:
+    """Choose idle machines that nothing waiting could use."""
+    chosen = []
+    for machine in machines:
+        if machine.holds or machine.leaving or machine.heard_at is None:
+            continue
+        if now - machine.idle_since < policy.idle_return_s and not machine.quarantined:
+            continue
+        if not machine.quarantined and any(
+            (job.run.flavours is None or machine.flavour.sku in job.run.flavours)
+            and (job.run.site is None or job.run.site == machine.site)
+            and (job.run.loaner or not machine.loaner)
+            and fits_flavour(job.run, machine.flavour)
+            for job, _count in waiting
+        ):
+            continue
+        chosen.append(machine)
+    return chosen
--- /dev/null
+++ b/src/ryewing/jobs.py
@@ -0,0 +1,283 @@
+"""Accepted jobs: their records in the store, their finishes, and what is still to be run.
+
+Keys: `j/<id>` holds a live job (with its cancel mark), `d/<id>/<chunk>` the finished tasks of a
+live job, `f/<id>` the small final state, kept for good. A job has either `j/` or `f/`, and it
+moves from one to the other in one transaction on the version of `j/`, so that a cancel and a
+`done` can't both win.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections import Counter
+from collections.abc import Iterator
+
+import msgspec
+
+from .settings import Team
+from .units import JobId, MachineId, Stamp, Steady, WallTime, Zone
+from .wire import RANKS, Flavour, Run, RunStatus
+
+LIVE_PREFIX = "j/"
+DONE_PREFIX = "d/"
+FINAL_PREFIX = "f/"
+CHUNK = 8192
+"""Finished tasks per `d/` record: 1 KiB as bits, well below any `value_kb`."""
+
+DONE = "done"
+CANCELLED = "cancelled"
+
+
+class JobRecord(msgspec.Struct, omit_defaults=True):
+    """The value of `j/<id>`."""
+
+    run: Run
+    at: float
+    cancelled: bool = False
+
+
+class FinalRecord(msgspec.Struct):
+    """The value of `f/<id>`."""
+
+    status: str
+
+
+def live_key(job: JobId) -> str:
+    """Name the record of a live job."""
+    return LIVE_PREFIX + job
+
+
+def final_key(job: JobId) -> str:
+    """Name the record of a job's final state."""
+    return FINAL_PREFIX + job
+
+
+def done_key(job: JobId, chunk: int) -> str:
+    """Name a record of finished tasks."""
+    return f"{DONE_PREFIX}{job}/{chunk}"
+
+
+def fits_flavour(run: Run, flavour: Flavour) -> bool:
+    """Tell whether one task fits an empty machine of this type."""
+    return (
+        run.vcpus <= flavour.vcpus and run.cards <= flavour.cards and run.mem_gb <= flavour.mem_gb
+    )
+
+
+def impossible(run: Run, flavours: dict[str, Flavour], teams: dict[str, Team]) -> str | None:
+    """Say why a job can never run, or None if it can."""
+    team = teams.get(run.owner)
+    if team is None:
+        return f"owner: unknown team {run.owner!r}"
+    allowed = [
+        flavour
+        for flavour in flavours.values()
+        if (run.flavours is None or flavour.sku in run.flavours)
+        and (run.site is None or run.site in flavour.sites)
+    ]
+    if not any(fits_flavour(run, flavour) for flavour in allowed):
+        return "a task fits no allowed machine type"
+    tasks = run.pieces if run.shape == "group" else 1
+    if team.cpus_max and run.vcpus * tasks > team.cpus_max:
+        return f"vcpus: above the limit of team {run.owner!r}"
+    if team.gpus_max and run.cards * tasks > team.gpus_max:
+        return f"cards: above the limit of team {run.owner!r}"
+    return None
+
+
+class Job:
+    """A live job as the leader knows it.
+
+    Work per task is done only where a task changes; finding the next tasks to run is a cursor
+    over the numbers plus a list of those that came back.
+    """
+
+    __slots__ = (
+        "_cursor",
+        "_done",
+        "_returned",
+        "at",
+        "backoff_s",
+        "backoff_until",
+        "cancelled",
+        "chunks_written",
+        "done_count",
+        "failed_on",
+        "gang_attempt",
+        "guaranteed",
+        "id",
+        "inherited",
+        "live",
+        "rank",
+        "run",
+        "run_seen_s",
+        "running",
+        "stamp",
+        "unwritten",
+        "zones",
+    )
+
+    def __init__(self, record: JobRecord, stamp: Stamp, inherited: bool = False) -> None:
+        self.run = record.run
+        self.id = JobId(record.run.ref)
+        self.at = WallTime(record.at)
+        self.stamp = stamp
+        self.cancelled = record.cancelled
+        self.rank = RANKS.index(record.run.rank)
+        self.inherited = inherited
+        """Accepted before this leader's term: its tasks may sit on machines not yet heard."""
+        self.live: dict[int, MachineId] = {}
+        self.zones: Counter[Zone] = Counter()
+        self.running = 0
+        self.done_count = 0
+        self.unwritten: set[int] = set()
+        self.chunks_written: set[int] = set()
+        self.gang_attempt: int | None = None
+        self.guaranteed = False
+        self.failed_on: dict[MachineId, Steady] = {}
+        self.backoff_s = 0.0
+        self.backoff_until = Steady(0.0)
+        self.run_seen_s: float | None = None
+        self._done = bytearray((self.run.pieces + 7) // 8)
+        self._returned: list[int] = []
+        self._cursor = 0
+
+    @property
+    def gang(self) -> bool:
+        """Tell whether all tasks run at the same time."""
+        return self.run.shape == "group"
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether every task is done."""
+        return self.done_count >= self.run.pieces
+
+    @property
+    def shortfall(self) -> int:
+        """Count the tasks that are neither done nor on a machine (nor planned for one)."""
+        if self.cancelled:
+            return 0
+        return self.run.pieces - self.done_count - len(self.live)
+
+    @property
+    def zone_max(self) -> int:
+        """How many tasks may be in one zone."""
+        return (self.run.pieces + 1) // 2 if self.run.spread else self.run.pieces
+
+    def estimate_s(self) -> float:
+        """Estimate a task's run time: the owner's guess, corrected by what was seen."""
+        if self.run_seen_s is not None:
+            return self.run_seen_s
+        return max(1.0, self.run.guess_s)
+
+    def is_done(self, index: int) -> bool:
+        """Tell whether the task has finished."""
+        return bool(self._done[index >> 3] & (1 << (index & 7)))
+
+    def finish(self, index: int) -> bool:
+        """Take note of a finish; True if it is news that must be written."""
+        if not 0 <= index < self.run.pieces or self.is_done(index):
+            return False
+        self._done[index >> 3] |= 1 << (index & 7)
+        self.done_count += 1
+        self.unwritten.add(index)
+        return True
+
+    def hand_back(self, index: int) -> None:
+        """A task left its machine without having finished."""
+        if not self.is_done(index):
+            self._returned.append(index)
+
+    def take(self, count: int) -> list[int]:
+        """Choose the next tasks to run; the caller puts them into `live`."""
+        chosen: list[int] = []
+        held = set()
+        while self._returned and len(chosen) < count:
+            index = self._returned.pop()
+            if index not in held and index not in self.live and not self.is_done(index):
+                chosen.append(index)
+                held.add(index)
+        while self._cursor < self.run.pieces and len(chosen) < count:
+            index = self._cursor
+            self._cursor += 1
+            if index not in held and index not in self.live and not self.is_done(index):
+                chosen.append(index)
+        return chosen
+
+    def load_chunk(self, chunk: int, text: str) -> None:
+        """Read a `d/` record back, after a take-over."""
+        try:
+            bits = base64.b64decode(text, validate=True)
+        except (binascii.Error, ValueError):
+            return
+        self.chunks_written.add(chunk)
+        for offset, byte in enumerate(bits):
+            for bit in range(8):
+                index = chunk * CHUNK + offset * 8 + bit
+                if byte & (1 << bit) and index < self.run.pieces and not self.is_done(index):
+                    self.finish(index)
+                    self.unwritten.discard(index)
+
+    def dirty_chunks(self) -> list[int]:
+        """Name the records that lack a finish."""
+        return sorted({index // CHUNK for index in self.unwritten})
+
+    def chunk_text(self, chunk: int) -> str:
+        """Give the value for a `d/` record."""
+        start = chunk * CHUNK // 8
+        return base64.b64encode(bytes(self._done[start : start + CHUNK // 8])).decode("ascii")
+
+    def status(self) -> RunStatus:
+        """Tell a user the state. `done` is said only by the final record."""
+        if self.cancelled:
+            return RunStatus(self.id, CANCELLED)
+        state = "running" if self.running else "queued"
+        return RunStatus(self.id, state, self.done_count, self.running)
+
+
+class Book:
+    """The live jobs, and which of them have something to place or to write."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[JobId, Job] = {}
+        self.waiting: set[JobId] = set()
+        """Jobs that may have a shortfall; kept so that no pass looks at all jobs."""
+        self.dirty: set[JobId] = set()
+        """Jobs with finishes, or a final state, to be written."""
+
+    def __iter__(self) -> Iterator[Job]:
+        return iter(self.jobs.values())
+
+    def get(self, job: JobId) -> Job | None:
+        """Find a live job."""
+        return self.jobs.get(job)
+
+    def put(self, record: JobRecord, stamp: Stamp, inherited: bool = False) -> Job:
+        """Take a record from the store: a new job, or a cancel of a known one."""
+        job = self.jobs.get(JobId(record.run.ref))
+        if job is None:
+            job = Job(record, stamp, inherited)
+            self.jobs[job.id] = job
+        else:
+            job.stamp = max(job.stamp, stamp, key=int)
+            job.cancelled = job.cancelled or record.cancelled
+        self.touch(job)
+        return job
+
+    def touch(self, job: Job) -> None:
+        """Sort a job into the sets after a change."""
+        if job.shortfall > 0:
+            self.waiting.add(job.id)
+        else:
+            self.waiting.discard(job.id)
+        if job.unwritten or job.cancelled or job.complete:
+            self.dirty.add(job.id)
+        else:
+            self.dirty.discard(job.id)
+
+    def drop(self, job: Job) -> None:
+        """A job's final state is written: forget it."""
+        self.jobs.pop(job.id, None)
+        self.waiting.discard(job.id)
+        self.dirty.discard(job.id)
--- /dev/null
+++ b/src/ryewing/mesh.py
@@ -0,0 +1,168 @@
+"""What the controllers say to each other: msgpack frames over TCP.
+
+A frame is four bytes of length and one msgspec struct. A refused connection or a missing answer
+is never taken as proof that the other is dead.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Union
+
+import gevent
+import msgspec
+from gevent import socket
+from gevent.pool import Pool
+from gevent.server import StreamServer
+
+from .settings import Address
+
+log = logging.getLogger("ryewing.mesh")
+FRAME_MAX = 4 * 1024 * 1024
+IDLE_S = 60.0
+
+
+class PollJob(msgspec.Struct, tag="poll"):
+    """A follower asks the leader for a job's state."""
+
+    job: str
+
+
+class CancelNotice(msgspec.Struct, tag="cancel"):
+    """A cancel has been written: the leader must know before its user is told."""
+
+    job: str
+
+
+class LeaderNotice(msgspec.Struct, tag="leader"):
+    """A new leader makes itself known, so that an older one steps down at once."""
+
+    node: str
+    term: int
+
+
+class RelayAsk(msgspec.Struct, tag="relay"):
+    """A node that alone can't reach the store asks through a peer."""
+
+    method: str
+    path: str
+    body: bytes | None = None
+
+
+class JobState(msgspec.Struct, tag="state"):
+    """The answer to a poll; no status: the asker must read the store."""
+
+    status: str | None = None
+    done: int = 0
+    running: int = 0
+
+
+class Ack(msgspec.Struct, tag="ack"):
+    """Whether the notice was taken in."""
+
+    ok: bool
+
+
+class RelayAnswer(msgspec.Struct, tag="relayed"):
+    """The store's answer, or status 0 if there was none."""
+
+    status: int
+    body: bytes = b""
+
+
+Ask = Union[PollJob, CancelNotice, LeaderNotice, RelayAsk]
+Answer = Union[JobState, Ack, RelayAnswer]
+Handler = Callable[[Ask], Answer]
+
+_ask_decoder = msgspec.msgpack.Decoder(Ask)
+_answer_decoder = msgspec.msgpack.Decoder(Answer)
+
+
+class PeerSilent(Exception):
+    """No answer from the other controller."""
+
+
+def _read_exactly(sock: socket.socket, count: int) -> bytes:
+    parts = []
+    while count:
+        data = sock.recv(min(count, 65536))
+        if not data:
+            raise EOFError
+        parts.append(data)
+        count -= len(data)
+    return b"".join(parts)
+
+
+def _read_frame(sock: socket.socket) -> bytes:
+    size = int.from_bytes(_read_exactly(sock, 4), "big")
+    if size > FRAME_MAX:
+        raise EOFError
+    return _read_exactly(sock, size)
+
+
+def _write_frame(sock: socket.socket, value: Ask | Answer) -> None:
+    data = msgspec.msgpack.encode(value)
+    sock.sendall(len(data).to_bytes(4, "big") + data)
+
+
+class Peer:
+    """Asks to one other controller, over a few kept connections."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._idle: deque[socket.socket] = deque()
+
+    def ask(self, ask: Ask, deadline_s: float) -> Answer:
+        """Ask, and wait for the answer; raise PeerSilent without one."""
+        sock: socket.socket | None = self._idle.pop() if self._idle else None
+        try:
+            with gevent.Timeout(deadline_s, TimeoutError("deadline")):
+                if sock is None:
+                    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    sock.connect(self._address)
+                _write_frame(sock, ask)
+                answer = _answer_decoder.decode(_read_frame(sock))
+        except (OSError, EOFError, msgspec.DecodeError) as error:
+            if sock is not None:
+                sock.close()
+            raise PeerSilent(f"{type(error).__name__}: {error}") from None
+        except BaseException:
+            if sock is not None:
+                sock.close()
+            raise
+        if len(self._idle) < 4:
+            self._idle.append(sock)
+        else:
+            sock.close()
+        return answer
+
+
+class MeshServer:
+    """Answers the other controllers."""
+
+    def __init__(self, address: Address, handler: Handler, connections: int) -> None:
+        self._handler = handler
+        self._server = StreamServer(address, self._serve, spawn=Pool(connections))
+
+    def start(self) -> None:
+        """Begin to listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock: socket.socket, _address: object) -> None:
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            while True:
+                with gevent.Timeout(IDLE_S, TimeoutError("idle")):
+                    frame = _read_frame(sock)
+                _write_frame(sock, self._handler(_ask_decoder.decode(frame)))
+        except (OSError, EOFError, msgspec.DecodeError):
+            pass
+        finally:
+            sock.close()
--- /dev/null
+++ b/src/ryewing/node.py
@@ -0,0 +1,275 @@
+"""One controller: wires the parts together and owns their lifetimes."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import gevent
+import msgspec
+
+from .api import Api, ApiServer, Finals
+from .budget import Budget
+from .leader import FLAVOURS_KEY, Leader
+from .leadership import (
+    HOLDER_KEY,
+    PREFIX,
+    Holder,
+    View,
+    campaign,
+    may_campaign,
+    new_boot,
+    read_view,
+)
+from .mesh import (
+    Ack,
+    Answer,
+    Ask,
+    CancelNotice,
+    JobState,
+    LeaderNotice,
+    MeshServer,
+    Peer,
+    PeerSilent,
+    PollJob,
+    RelayAnswer,
+    RelayAsk,
+)
+from .policy import Policy
+from .settings import Settings, parse_address
+from .store import Compacted, Store, StoreDown
+from .transport import Reply
+from .units import Epoch, JobId, NodeName, Steady, Term, steady_now
+from .wire import Flavour, FlavourList, RunStatus
+
+log = logging.getLogger("ryewing.node")
+WATCH_S = 8.0
+MESH_S = 0.6
+
+
+class Node:
+    """One controller process."""
+
+    def __init__(self, settings: Settings, policy: Policy) -> None:
+        self.settings = settings
+        self.policy = policy
+        self.name = NodeName(settings.node)
+        self.boot = new_boot()
+        limits = settings.params.state
+        self.store = Store(parse_address(settings.endpoints.state), limits)
+        self.store.relay = self._relay
+        self.teams = {team.name: team for team in settings.params.teams}
+        self.finals = Finals()
+        self.leader: Leader | None = None
+        self._flavours: dict[str, Flavour] = {}
+        self._flavours_read_at = Steady(-1e9)
+        self._leader_name: str | None = None
+        self._leader_term = Term(0)
+        self._peers = {m.node: Peer(parse_address(m.address)) for m in settings.members}
+        self._relay_budget = Budget(0.2 * limits.rps, 0.2 * limits.rps)
+        sockets = settings.params.resources.fd_limit
+        self._api = ApiServer(
+            parse_address(settings.api_addr), Api(self), max(16, int(0.6 * sockets))
+        )
+        self._mesh = MeshServer(
+            parse_address(settings.mesh_addr), self._on_mesh, max(8, int(0.05 * sockets))
+        )
+        self._rng = random.Random()
+
+    def serve(self) -> None:
+        """Run until the process is killed."""
+        self._api.start()
+        self._mesh.start()
+        log.info("event=serving node=%s boot=%s", self.name, self.boot)
+        while True:
+            try:
+                self._follow()
+            except StoreDown as error:
+                log.debug("event=store-down error=%s", error)
+                gevent.sleep(0.2 + 0.2 * self._rng.random())
+
+    # -- leadership -------------------------------------------------------------------------
+
+    def _follow(self) -> None:
+        """Watch who leads; try to lead when nobody does."""
+        view = read_view(self.store)
+        while True:
+            if self.leader is not None:
+                gevent.sleep(0.2)
+                if self.leader is None:
+                    return
+                continue
+            self._note(view)
+            if may_campaign(view, self.name, self.boot):
+                mandate = campaign(
+                    self.store,
+                    view,
+                    self.name,
+                    self.boot,
+                    self.policy.store_lease_s,
+                    self.policy.hold_s,
+                )
+                if mandate is not None:
+                    leader = Leader(
+                        self.settings,
+                        self.policy,
+                        self.store,
+                        mandate,
+                        self.finals.put,
+                        self._step_down,
+                        self._set_flavours,
+                    )
+                    log.info("event=leading node=%s term=%d", self.name, mandate.term)
+                    self.leader = leader
+                    self._leader_name = self.name
+                    self._leader_term = mandate.term
+                    leader.start()
+                    self._announce(mandate.term)
+                    continue
+                view = read_view(self.store)
+                continue
+            try:
+                changes = self.store.watch(PREFIX, view.epoch, WATCH_S)
+            except Compacted:
+                return
+            if changes.log:
+                view = read_view(self.store)
+            else:
+                view.epoch = Epoch(max(view.epoch, changes.epoch))
+
+    def _note(self, view: View) -> None:
+        holder = view.holder
+        if holder is None:
+            self._leader_name = None
+        elif holder.term >= self._leader_term:
+            if self._leader_name != holder.node:
+                log.info("event=following leader=%s term=%d", holder.node, holder.term)
+            self._leader_name = holder.node
+            self._leader_term = Term(holder.term)
+
+    def _step_down(self, why: str) -> None:
+        leader = self.leader
+        if leader is None:
+            return
+        log.info("event=stepped-down node=%s term=%d why=%s", self.name, leader.term, why)
+        self.leader = None
+        self._leader_name = None
+        leader.stop()
+
+    def _announce(self, term: Term) -> None:
+        notice = LeaderNotice(self.name, int(term))
+        for peer in self._peers.values():
+            gevent.spawn(self._ask, peer, notice)
+
+    def foreign_leader(self) -> str | None:
+        """Name the leader to whom workers should be sent, if it is another node."""
+        return self._leader_name if self._leader_name != self.name else None
+
+    def healthy(self) -> bool:
+        """Tell whether requests can be taken.
+
+        An outage that all nodes see leaves them healthy: they refuse at once what they can't
+        decide, and a removal would only reset connections and be undone slowly.
+        """
+        return True
+
+    # -- what requests need -----------------------------------------------------------------
+
+    def known_flavours(self) -> dict[str, Flavour]:
+        """Give the machine types; read from the store if this node has none yet."""
+        now = steady_now()
+        if not self._flavours and now - self._flavours_read_at > 0.5:
+            self._flavours_read_at = now
+            try:
+                entry = self.store.get(FLAVOURS_KEY)
+            except StoreDown:
+                entry = None
+            if entry is not None:
+                listed = msgspec.json.decode(entry.data, type=FlavourList).flavours
+                self._set_flavours({flavour.sku: flavour for flavour in listed})
+        return self._flavours
+
+    def _set_flavours(self, flavours: dict[str, Flavour]) -> None:
+        self._flavours = flavours
+
+    def ask_leader(self, job: JobId) -> RunStatus | None:
+        """Ask the leader for a job's state; None if only the store can tell."""
+        name = self.foreign_leader()
+        peer = self._peers.get(name) if name is not None else None
+        if peer is None:
+            return None
+        answer = self._ask(peer, PollJob(job))
+        if not isinstance(answer, JobState) or answer.status is None:
+            return None
+        return RunStatus(job, answer.status, answer.done, answer.running)
+
+    def tell_cancel(self, job: JobId) -> bool:
+        """Make the leader know of a cancel that is written; False if it may not know.
+
+        Only the holder of the lease answers users from memory, and whoever comes after it reads
+        the jobs after its take-over. So it is enough to tell the one who holds it now.
+        """
+        entry = self.store.get(HOLDER_KEY)
+        if entry is None:
+            return True
+        holder = msgspec.json.decode(entry.data, type=Holder)
+        if holder.node == self.name:
+            return self.leader is None or self.leader.take_cancel(job)
+        peer = self._peers.get(holder.node)
+        answer = self._ask(peer, CancelNotice(job)) if peer is not None else None
+        if isinstance(answer, Ack) and answer.ok:
+            return True
+        # The holder is dead, or cut from here. A leader that can reach the store sees the
+        # cancel in its watch; one that can't loses its authority to answer within its lease.
+        gevent.sleep(0.3)
+        return False
+
+    def _ask(self, peer: Peer, ask: Ask) -> Answer | None:
+        try:
+            return peer.ask(ask, MESH_S)
+        except PeerSilent as error:
+            log.debug("event=peer-silent error=%s", error)
+            return None
+
+    def _relay(self, method: str, path: str, body: bytes | None) -> Reply | None:
+        """Ask the store through a peer, since it can't be reached from here."""
+        for peer in self._peers.values():
+            answer = self._ask(peer, RelayAsk(method, path, body))
+            if isinstance(answer, RelayAnswer) and answer.status:
+                return Reply(answer.status, answer.body)
+        return None
+
+    # -- the mesh ---------------------------------------------------------------------------
+
+    def _on_mesh(self, ask: Ask) -> Answer:
+        if isinstance(ask, PollJob):
+            return self._on_poll(JobId(ask.job))
+        if isinstance(ask, CancelNotice):
+            leader = self.leader
+            return Ack(leader is not None and leader.take_cancel(JobId(ask.job)))
+        if isinstance(ask, LeaderNotice):
+            if self.leader is not None and ask.term > self.leader.term:
+                self._step_down("notice")
+            if ask.term >= self._leader_term and self.leader is None:
+                self._leader_name = ask.node
+                self._leader_term = Term(ask.term)
+            return Ack(True)
+        return self._on_relay(ask)
+
+    def _on_poll(self, job: JobId) -> JobState:
+        final = self.finals.get(job)
+        if final is not None:
+            return JobState(final)
+        state = self.leader.poll(job) if self.leader is not None else None
+        if state is None:
+            return JobState()
+        return JobState(state.status, state.done or 0, state.running or 0)
+
+    def _on_relay(self, ask: RelayAsk) -> RelayAnswer:
+        if not self._relay_budget.take():
+            return RelayAnswer(0)
+        try:
+            reply = self.store.raw(ask.method, ask.path, ask.body, 0.5)
+        except StoreDown:
+            return RelayAnswer(0)
+        return RelayAnswer(reply.status, reply.body)
--- /dev/null
+++ b/src/ryewing/picture.py
@@ -0,0 +1,421 @@
+"""The leader's picture of the workers, who hold the truth.
+
+Each message overwrites its worker's part if it is newer. What can't be known from messages is
+kept as an assumption until it is settled: a start that was sent, a machine that is silent but
+whose lease may run, and a machine known from the store that this leader has not heard yet.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Iterator
+
+from .jobs import Book, Job
+from .stops import Stops
+from .units import (
+    DRIFT,
+    NEVER_HEARD,
+    Attempt,
+    FlavourName,
+    MachineId,
+    ReportVersion,
+    Steady,
+    TaskId,
+    TeamName,
+    Term,
+    Zone,
+    parse_task,
+)
+from .wire import Flavour, Report, ReportedPiece
+
+log = logging.getLogger("ryewing.picture")
+
+PLANNED = "planned"
+SENT = "sent"
+FETCHING = "fetching"
+GATHERING = "gathering"
+RUNNING = "running"
+SAVING = "saving"
+ENDED = "ended"
+LIVE_PHASES = frozenset((FETCHING, GATHERING, RUNNING, SAVING))
+LEASE_MARGIN_S = 0.5
+
+
+class Hold:
+    """One task attempt on a machine: planned, assumed, or reported."""
+
+    __slots__ = (
+        "attempt",
+        "job",
+        "machine",
+        "phase",
+        "planned_at",
+        "ran_from",
+        "sent_after",
+        "task",
+    )
+
+    def __init__(
+        self,
+        machine: Machine,
+        task: TaskId,
+        attempt: Attempt,
+        job: Job | None,
+        phase: str,
+        now: Steady,
+    ) -> None:
+        self.machine = machine
+        self.task = task
+        self.attempt = attempt
+        self.job = job
+        self.phase = phase
+        self.planned_at = now
+        self.sent_after: ReportVersion | None = None
+        """The report whose response carried the start; a later report settles it."""
+        self.ran_from: Steady | None = None
+
+
+class Ended:
+    """An ended attempt that the worker reports until it is cleared."""
+
+    __slots__ = ("attempt", "done", "task")
+
+    def __init__(self, task: TaskId, attempt: Attempt, done: bool) -> None:
+        self.task = task
+        self.attempt = attempt
+        self.done = done
+
+
+class Machine:
+    """One machine as far as it is known."""
+
+    __slots__ = (
+        "addr",
+        "cards",
+        "ended",
+        "faults",
+        "first_seen_at",
+        "flavour",
+        "handshaken",
+        "heard_at",
+        "holds",
+        "id",
+        "idle_since",
+        "images",
+        "leaving",
+        "loaner",
+        "may_hold_until",
+        "mem_gb",
+        "quarantined",
+        "recorded",
+        "rented_at",
+        "site",
+        "vcpus",
+        "version",
+        "warned_at",
+        "warning_s",
+    )
+
+    def __init__(
+        self, name: MachineId, flavour: Flavour, site: Zone, loaner: bool, now: Steady
+    ) -> None:
+        self.id = name
+        self.flavour = flavour
+        self.site = site
+        self.loaner = loaner
+        self.addr = ""
+        self.version = NEVER_HEARD
+        self.handshaken = False
+        """A message carrying our own term has come: older starts are refused from then on."""
+        self.recorded = False
+        """The store holds the machine, so that a successor knows that it may have tasks."""
+        self.heard_at: Steady | None = None
+        self.may_hold_until: Steady | None = None
+        """Until then its lease may run. None: the worker was never answered by anybody."""
+        self.first_seen_at = now
+        self.rented_at = now
+        self.idle_since = now
+        self.warning_s: float | None = None
+        self.warned_at = now
+        self.leaving = False
+        self.quarantined = False
+        self.holds: dict[TaskId, Hold] = {}
+        self.ended: list[Ended] = []
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.faults: set[str] = set()
+        self.vcpus = flavour.vcpus
+        self.cards = flavour.cards
+        self.mem_gb = flavour.mem_gb
+
+    @property
+    def flavour_name(self) -> FlavourName:
+        """Name the machine's type."""
+        return FlavourName(self.flavour.sku)
+
+    def usable(self) -> bool:
+        """Tell whether new tasks may be planned for it."""
+        return (
+            self.handshaken
+            and self.recorded
+            and not self.leaving
+            and not self.quarantined
+            and self.warning_s is None
+        )
+
+    def has_image(self, bundle: str) -> bool:
+        """Tell whether an image is probably here, or is being fetched."""
+        return bundle in self.images
+
+    def note_image(self, bundle: str, size_gb: float) -> None:
+        """A task of this image ran here: the image is cached, the least used ones may go."""
+        self.images[bundle] = size_gb
+        self.images.move_to_end(bundle)
+        while len(self.images) > 1 and sum(self.images.values()) > self.flavour.local_gb:
+            self.images.popitem(last=False)
+
+
+class Picture:
+    """All machines, with what their tasks take of teams' limits."""
+
+    def __init__(self, term: Term, lease_s: float, book: Book, stops: Stops) -> None:
+        self.term = term
+        self.book = book
+        self.stops = stops
+        self.machines: dict[MachineId, Machine] = {}
+        self.team_vcpus: dict[TeamName, float] = {}
+        self.team_cards: dict[TeamName, float] = {}
+        self._lease_s = lease_s * (1 + DRIFT) + LEASE_MARGIN_S
+
+    # -- holds ------------------------------------------------------------------------------
+
+    def hold(
+        self, machine: Machine, task: TaskId, attempt: Attempt, phase: str, now: Steady
+    ) -> Hold:
+        """Put a task attempt on a machine."""
+        job = self.book.get(task.job)
+        if job is not None and not 0 <= task.number < job.run.pieces:
+            job = None
+        held = Hold(machine, task, attempt, job, phase, now)
+        machine.holds[task] = held
+        if job is not None:
+            run = job.run
+            machine.vcpus -= run.vcpus
+            machine.cards -= run.cards
+            machine.mem_gb -= run.mem_gb
+            team = TeamName(run.owner)
+            self.team_vcpus[team] = self.team_vcpus.get(team, 0.0) + run.vcpus
+            self.team_cards[team] = self.team_cards.get(team, 0.0) + run.cards
+            other = job.live.get(task.number)
+            if other is not None and other != machine.id:
+                log.error("task=%s event=seen-twice machine=%s other=%s", task, machine.id, other)
+            job.live[task.number] = machine.id
+            job.zones[machine.site] += 1
+            if phase == RUNNING:
+                job.running += 1
+                held.ran_from = now
+            self.book.touch(job)
+        return held
+
+    def drop(self, held: Hold, now: Steady, finished: bool = False) -> None:
+        """Take a task attempt off its machine."""
+        machine = held.machine
+        del machine.holds[held.task]
+        if not machine.holds:
+            machine.idle_since = now
+        self.stops.gone(machine.id, held.task, held.attempt)
+        job = held.job
+        if job is None:
+            return
+        run = job.run
+        machine.vcpus += run.vcpus
+        machine.cards += run.cards
+        machine.mem_gb += run.mem_gb
+        team = TeamName(run.owner)
+        self.team_vcpus[team] -= run.vcpus
+        self.team_cards[team] -= run.cards
+        job.zones[machine.site] -= 1
+        if held.phase == RUNNING:
+            job.running -= 1
+        if job.live.get(held.task.number) == machine.id:
+            del job.live[held.task.number]
+            if not finished:
+                job.hand_back(held.task.number)
+        self.book.touch(job)
+
+    def _set_phase(self, held: Hold, phase: str, now: Steady) -> None:
+        if held.phase == phase:
+            return
+        job = held.job
+        if job is not None:
+            if held.phase == RUNNING:
+                job.running -= 1
+            if phase == RUNNING:
+                job.running += 1
+        if phase == RUNNING and held.ran_from is None:
+            held.ran_from = now
+        held.phase = phase
+
+    # -- machines ---------------------------------------------------------------------------
+
+    def add(
+        self, name: MachineId, flavour: Flavour, site: Zone, loaner: bool, now: Steady
+    ) -> Machine:
+        """Take up a machine, or return it if it is known."""
+        machine = self.machines.get(name)
+        if machine is None:
+            machine = Machine(name, flavour, site, loaner, now)
+            self.machines[name] = machine
+        return machine
+
+    def remove(self, machine: Machine, now: Steady) -> None:
+        """The machine is certainly gone, and everything on it."""
+        self.clear_out(machine, now)
+        self.stops.machine_gone(machine.id)
+        self.machines.pop(machine.id, None)
+
+    def clear_out(self, machine: Machine, now: Steady) -> None:
+        """Nothing that was on the machine is there any more."""
+        for held in list(machine.holds.values()):
+            self.drop(held, now)
+        machine.ended = []
+
+    def answered(self, machine: Machine, now: Steady) -> None:
+        """We are about to answer 200: its lease may run from now on."""
+        until = Steady(now + self._lease_s)
+        if machine.may_hold_until is None or until > machine.may_hold_until:
+            machine.may_hold_until = until
+
+    def unheard(self) -> Iterator[Machine]:
+        """Machines that may hold tasks of which this leader can't know."""
+        for machine in self.machines.values():
+            if machine.recorded and not machine.handshaken and machine.may_hold_until is not None:
+                yield machine
+
+    def expire(self, now: Steady) -> list[Machine]:
+        """Drop what was on machines whose lease has surely ended; name those machines."""
+        ended = []
+        for machine in self.machines.values():
+            if machine.may_hold_until is not None and now >= machine.may_hold_until:
+                machine.may_hold_until = None
+                self.clear_out(machine, now)
+                ended.append(machine)
+        return ended
+
+    def unplan(self, now: Steady, patience_s: float) -> None:
+        """Give up plans whose machine did not come to fetch them: nothing was sent."""
+        for machine in self.machines.values():
+            for held in list(machine.holds.values()):
+                if held.phase == PLANNED and now - held.planned_at > patience_s:
+                    self.drop(held, now)
+
+    # -- messages ---------------------------------------------------------------------------
+
+    def absorb(self, machine: Machine, report: Report, now: Steady, as_report: bool) -> bool:
+        """Take in a worker's message; False if a newer one was there before.
+
+        `as_report`: a report proper, which the worker sends only after it has executed or
+        dropped our last response; so it settles assumed starts. The body of `/orders` may have
+        overtaken a response, and settles nothing.
+        """
+        version = ReportVersion(report.tenure, report.tick)
+        if report.mandate == self.term:
+            # A reading of the token: true whatever the order in which messages come.
+            machine.handshaken = True
+        if version <= machine.version:
+            return False
+        if report.tenure > machine.version.tenure and machine.version != NEVER_HEARD:
+            # A new session: the worker has killed and forgotten everything, and it drops
+            # responses to reports of the earlier one.
+            for held in list(machine.holds.values()):
+                if held.phase != PLANNED:
+                    self.drop(held, now)
+        machine.version = version
+        machine.heard_at = now
+        if report.addr:
+            machine.addr = report.addr
+        if report.warning_s is not None and machine.warning_s is None:
+            machine.warned_at = now
+        machine.warning_s = report.warning_s
+        machine.ended = []
+        seen: set[TaskId] = set()
+        for piece in report.pieces:
+            task = parse_task(piece.piece)
+            if task is None:
+                continue
+            if piece.status == ENDED:
+                self._absorb_ended(machine, task, piece, now)
+            elif piece.status in LIVE_PHASES:
+                seen.add(task)
+                self._absorb_live(machine, task, piece, now)
+        for held in list(machine.holds.values()):
+            if held.task in seen or held.phase == PLANNED:
+                continue
+            if held.phase == SENT and not (
+                as_report and held.sent_after is not None and version > held.sent_after
+            ):
+                continue  # still assumed
+            self.drop(held, now)
+        return True
+
+    def _absorb_live(
+        self, machine: Machine, task: TaskId, piece: ReportedPiece, now: Steady
+    ) -> None:
+        held = machine.holds.get(task)
+        attempt = Attempt(piece.attempt)
+        if held is not None and held.attempt != attempt:
+            if held.phase == SENT:
+                # The worker refuses our start while the other attempt is there (`in_use`).
+                # Keep the room counted once, under what is really there.
+                log.warning("task=%s machine=%s event=other-attempt", task, machine.id)
+            self.drop(held, now)
+            held = None
+        if held is None:
+            held = self.hold(machine, task, attempt, piece.status, now)
+        else:
+            self._set_phase(held, piece.status, now)
+        if held.job is not None and piece.status != FETCHING:
+            machine.note_image(held.job.run.bundle, held.job.run.image_gb)
+
+    def _absorb_ended(
+        self, machine: Machine, task: TaskId, piece: ReportedPiece, now: Steady
+    ) -> None:
+        attempt = Attempt(piece.attempt)
+        done = piece.cause == "done"
+        machine.ended.append(Ended(task, attempt, done))
+        job = self.book.get(task.job)
+        held = machine.holds.get(task)
+        known = held is not None and held.attempt == attempt
+        if held is not None and known:
+            if done and job is not None and held.ran_from is not None:
+                took = now - held.ran_from
+                seen = job.run_seen_s
+                job.run_seen_s = took if seen is None else 0.7 * seen + 0.3 * took
+            self.drop(held, now, finished=done)
+        if job is None:
+            return
+        if done:
+            machine.faults.clear()
+            if not job.cancelled:
+                job.finish(task.number)
+                job.backoff_s = 0.0
+            self.book.touch(job)
+        elif known:
+            self._failed(machine, job, piece.cause or "", now)
+
+    def _failed(self, machine: Machine, job: Job, cause: str, now: Steady) -> None:
+        """Judge a failure: by the job if it fails on several machines, else by the machine."""
+        if cause in ("no_room", "in_use", "unknown"):
+            # The worker knows better than our sums, or the job's description is not there yet:
+            # look again after its next reports instead of at once.
+            job.backoff_until = Steady(max(job.backoff_until, now + 1.0))
+            log.warning("job=%s machine=%s event=refused cause=%s", job.id, machine.id, cause)
+            return
+        if cause != "error":
+            return
+        job.failed_on[machine.id] = now
+        machine.faults.add(job.id)
+        log.warning("job=%s machine=%s event=task-failed", job.id, machine.id)
+        if len(job.failed_on) >= 3:
+            job.backoff_s = min(60.0, max(2.0, job.backoff_s * 2))
+            job.backoff_until = Steady(now + job.backoff_s)
--- /dev/null
+++ b/src/ryewing/placement.py
@@ -0,0 +1,419 @@
+"""Where tasks go: one batch per job and pass, into the fitting machine left fullest.
+
+Pure: works on snapshots of the machines' room, with the clock and the random numbers passed in.
+What it decides is carried out by the leader. Three stages for each job, in order of priority:
+free room; room that stops under way will free; and room that stopping less important work
+would free. What a job claims in any of them is out of reach for the jobs after it.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+
+from .jobs import Job
+from .picture import SAVING, Hold, Machine
+from .settings import Team
+from .units import Steady, TeamName, Zone
+from .wire import Run
+
+EPSILON = 1e-6
+PREEMPT_MAX = 64
+"""Tasks stopped for one job in one pass: bounds the work of a pass."""
+
+
+class Room:
+    """A machine's room during one pass."""
+
+    __slots__ = (
+        "cards",
+        "dying_cards",
+        "dying_mem",
+        "dying_vcpus",
+        "machine",
+        "mem",
+        "stopping",
+        "vcpus",
+    )
+
+    def __init__(self, machine: Machine, stopping: frozenset[Hold] = frozenset()) -> None:
+        self.machine = machine
+        self.vcpus = machine.vcpus
+        self.cards = machine.cards
+        self.mem = machine.mem_gb
+        self.stopping: set[Hold] = set(stopping)
+        self.dying_vcpus = self.dying_cards = self.dying_mem = 0.0
+        for held in stopping:
+            self._add_dying(held)
+
+    def _add_dying(self, held: Hold) -> None:
+        if held.job is not None:
+            run = held.job.run
+            self.dying_vcpus += run.vcpus
+            self.dying_cards += run.cards
+            self.dying_mem += run.mem_gb
+
+    def stop(self, held: Hold) -> None:
+        """Count a task as being stopped."""
+        self.stopping.add(held)
+        self._add_dying(held)
+
+    def count(self, run: Run, limit: int, with_dying: bool = False) -> int:
+        """Tell how many tasks of this kind fit, up to a limit."""
+        vcpus, cards, mem = self.vcpus, self.cards, self.mem
+        if with_dying:
+            vcpus += self.dying_vcpus
+            cards += self.dying_cards
+            mem += self.dying_mem
+        for need, have in ((run.vcpus, vcpus), (run.cards, cards), (run.mem_gb, mem)):
+            if need > 0:
+                limit = min(limit, int((have + EPSILON) / need)) if have > 0 else 0
+            if limit <= 0:
+                return 0
+        return limit
+
+    def claim(self, run: Run, count: int) -> None:
+        """Take room; it may become negative where room still has to be freed."""
+        self.vcpus -= run.vcpus * count
+        self.cards -= run.cards * count
+        self.mem -= run.mem_gb * count
+
+    def free_share(self) -> float:
+        """Tell how empty the machine is; the smallest is the fullest."""
+        flavour = self.machine.flavour
+        share = self.vcpus / flavour.vcpus if flavour.vcpus else 0.0
+        if flavour.mem_gb:
+            share += self.mem / flavour.mem_gb
+        if flavour.cards:
+            share += 2.0 * self.cards / flavour.cards
+        return share
+
+
+def allows(run: Run, machine: Machine) -> bool:
+    """Tell whether the job may use this machine at all: type, zone, kind."""
+    return (
+        (run.flavours is None or machine.flavour.sku in run.flavours)
+        and (run.site is None or machine.site == run.site)
+        and (run.loaner or not machine.loaner)
+    )
+
+
+class Quota:
+    """Teams' limits during one pass.
+
+    `unseen` is the room of machines of which it isn't known what they hold: any team might use
+    all of it, so it counts against each.
+    """
+
+    def __init__(
+        self,
+        teams: dict[str, Team],
+        vcpus: dict[TeamName, float],
+        cards: dict[TeamName, float],
+        unseen_vcpus: float = 0.0,
+        unseen_cards: float = 0.0,
+    ) -> None:
+        self._teams = teams
+        self._vcpus = {name: used + unseen_vcpus for name, used in vcpus.items()}
+        self._cards = {name: used + unseen_cards for name, used in cards.items()}
+        self._unseen = (unseen_vcpus, unseen_cards)
+
+    def headroom(self, run: Run, wanted: int) -> int:
+        """Tell how many more tasks the team's limit permits, up to `wanted`."""
+        team = self._teams.get(run.owner)
+        if team is None:
+            return 0
+        name = TeamName(run.owner)
+        for need, limit, used in (
+            (run.vcpus, team.cpus_max, self._vcpus.get(name, self._unseen[0])),
+            (run.cards, team.gpus_max, self._cards.get(name, self._unseen[1])),
+        ):
+            if limit > 0 and need > 0:
+                wanted = min(wanted, int((limit - used + EPSILON) / need))
+        return max(0, wanted)
+
+    def use(self, run: Run, count: int) -> None:
+        """Count placed or claimed tasks."""
+        name = TeamName(run.owner)
+        self._vcpus[name] = self._vcpus.get(name, self._unseen[0]) + run.vcpus * count
+        self._cards[name] = self._cards.get(name, self._unseen[1]) + run.cards * count
+
+
+class Batch:
+    """What one job gets in one pass."""
+
+    __slots__ = ("job", "parts")
+
+    def __init__(self, job: Job, parts: list[tuple[Machine, int]]) -> None:
+        self.job = job
+        self.parts = parts
+
+
+class Plan:
+    """The outcome of a pass."""
+
+    def __init__(self) -> None:
+        self.batches: list[Batch] = []
+        self.stops: list[Hold] = []
+        self.short: list[tuple[Job, int]] = []
+        """Jobs with tasks for which there is no room, not even room to be freed."""
+
+
+def mark_guarantees(jobs: Iterable[Job], teams: dict[str, Team]) -> None:
+    """Mark the jobs that fit into their team's guarantee with the team's earlier ones."""
+    used: dict[str, tuple[float, float]] = {}
+    for job in sorted(jobs, key=lambda j: (j.at, j.id)):
+        job.guaranteed = False
+        team = teams.get(job.run.owner)
+        if job.cancelled or team is None or not (team.cpus or team.gpus):
+            continue
+        left = job.run.pieces - job.done_count
+        vcpus, cards = used.get(team.name, (0.0, 0.0))
+        vcpus += job.run.vcpus * left
+        cards += job.run.cards * left
+        used[team.name] = (vcpus, cards)
+        counted = (team.cpus and job.run.vcpus) or (team.gpus and job.run.cards)
+        job.guaranteed = bool(
+            counted
+            and (not team.cpus or vcpus <= team.cpus + EPSILON)
+            and (not team.gpus or cards <= team.gpus + EPSILON)
+        )
+
+
+def order_key(job: Job) -> tuple[bool, int, float, str]:
+    """Sort jobs: what is guaranteed, then by rank, then by age."""
+    return (not job.guaranteed, job.rank, job.at, job.id)
+
+
+def lost_work(held: Hold, now: Steady) -> float:
+    """Estimate the run time lost by stopping a task now, saving if it can."""
+    if held.ran_from is None or held.job is None:
+        return 0.0
+    run = held.job.run
+    if run.savepoint_s > 0:
+        return run.flush_s
+    return now - held.ran_from
+
+
+def may_preempt(job: Job, held: Hold) -> bool:
+    """Tell whether this task may be stopped for the job.
+
+    Guaranteed work gives way to nobody: otherwise a borrower of higher rank and the owner of a
+    guarantee could stop each other by turns. Gangs of several tasks are left alone: stopping
+    one task of them loses the whole gang.
+    """
+    other = held.job
+    if other is None or other.guaranteed or held.phase == SAVING:
+        return False
+    if other.gang and other.run.pieces > 1:
+        return False
+    if other.rank > job.rank:
+        return True
+    return job.guaranteed and other.run.owner != job.run.owner and other.rank >= job.rank
+
+
+class Pass:
+    """One placement pass."""
+
+    def __init__(
+        self,
+        rooms: Sequence[Room],
+        quota: Quota,
+        now: Steady,
+        rng: random.Random,
+        sample: int,
+        avoid: Callable[[Job, Machine], bool] = lambda _job, _machine: False,
+    ) -> None:
+        self._rooms = rooms
+        self._quota = quota
+        self._now = now
+        self._rng = rng
+        self._sample = sample
+        self._avoid = avoid
+        self.plan = Plan()
+
+    def run(self, jobs: Iterable[Job]) -> Plan:
+        """Place the jobs in the order given."""
+        for job in jobs:
+            self._place(job)
+        return self.plan
+
+    def _candidates(self, job: Job) -> list[Room]:
+        rooms = self._rooms
+        if len(rooms) > self._sample:
+            # More machines than a pass can look at: a random sample, another one next pass.
+            rooms = self._rng.sample(rooms, self._sample)
+        return [
+            room
+            for room in rooms
+            if allows(job.run, room.machine) and not self._avoid(job, room.machine)
+        ]
+
+    def _place(self, job: Job) -> None:
+        wanted = job.shortfall
+        if wanted <= 0:
+            return
+        allowed = self._quota.headroom(job.run, wanted)
+        whole = job.gang
+        if allowed <= 0 or (whole and allowed < wanted):
+            return
+        rooms = self._candidates(job)
+        left = min(wanted, allowed)
+        placed = self._fill(job, left, rooms, whole, with_dying=False)
+        if placed:
+            self._commit(job, placed)
+            self.plan.batches.append(Batch(job, [(room.machine, count) for room, count in placed]))
+            left -= sum(count for _room, count in placed)
+        if left <= 0:
+            return
+        zone = placed[0][0].machine.site if placed and job.run.together else None
+        claimed = self._fill(job, left, rooms, whole, with_dying=True, zone=zone)
+        if claimed:
+            self._commit(job, claimed)
+            left -= sum(count for _room, count in claimed)
+        if left > 0:
+            left -= self._preempt(job, left, rooms, whole, zone)
+        if left > 0:
+            self.plan.short.append((job, left))
+
+    def _commit(self, job: Job, parts: list[tuple[Room, int]]) -> None:
+        for room, count in parts:
+            room.claim(job.run, count)
+            self._quota.use(job.run, count)
+
+    def _fill(
+        self,
+        job: Job,
+        wanted: int,
+        rooms: list[Room],
+        whole: bool,
+        with_dying: bool,
+        zone: Zone | None = None,
+    ) -> list[tuple[Room, int]]:
+        """Choose rooms for up to `wanted` tasks, or for all of them or none if `whole`."""
+        run = job.run
+        fitting = [room for room in rooms if room.count(run, 1, with_dying)]
+        if not fitting:
+            return []
+        # The design says fullest first. The image comes before that: a fetch takes longer than
+        # most tasks wait, and a machine that has the image is among the used ones anyway.
+        fitting.sort(key=lambda r: (not r.machine.has_image(run.bundle), r.free_share()))
+        zones: list[Zone | None] = [zone]
+        if run.together and zone is None:
+            there = [z for z, count in job.zones.items() if count > 0]
+            zones = list(there[:1]) or list(dict.fromkeys(r.machine.site for r in fitting))
+        best: list[tuple[Room, int]] = []
+        best_count = 0
+        for only in zones:
+            parts: list[tuple[Room, int]] = []
+            left = wanted
+            by_zone: dict[Zone, int] = {}
+            for room in fitting:
+                site = room.machine.site
+                if only is not None and site != only:
+                    continue
+                most = left
+                if run.spread:
+                    most = min(most, job.zone_max - job.zones[site] - by_zone.get(site, 0))
+                count = room.count(run, most, with_dying) if most > 0 else 0
+                if count > 0:
+                    parts.append((room, count))
+                    by_zone[site] = by_zone.get(site, 0) + count
+                    left -= count
+                    if left == 0:
+                        break
+            if wanted - left > best_count:
+                best, best_count = parts, wanted - left
+            if left == 0:
+                break
+        if whole and best_count < wanted:
+            return []
+        return best
+
+    def _preempt(
+        self, job: Job, wanted: int, rooms: list[Room], whole: bool, zone: Zone | None
+    ) -> int:
+        """Stop less important work for the job; return for how many tasks room was found."""
+        run = job.run
+        wanted = min(wanted, PREEMPT_MAX)
+        options: list[tuple[float, int, Room, list[Hold]]] = []
+        for number, room in enumerate(rooms):
+            if zone is not None and room.machine.site != zone:
+                continue
+            victims = [
+                held
+                for held in room.machine.holds.values()
+                if held not in room.stopping and may_preempt(job, held)
+            ]
+            if victims:
+                victims.sort(key=lambda h: (-h.job.rank if h.job else 0, lost_work(h, self._now)))
+                options.append(
+                    (sum(lost_work(h, self._now) for h in victims), number, room, victims)
+                )
+        options.sort(key=lambda option: option[:2])
+        if not options:
+            return 0
+        if run.together and zone is None:
+            there = [z for z, count in job.zones.items() if count > 0]
+            zone = there[0] if there else None
+        got: list[tuple[Room, list[Hold], int]] = []
+        left = wanted
+        sites: dict[Zone, int] = {}
+        for _cost, _number, room, victims in options:
+            if left == 0:
+                break
+            site = room.machine.site
+            if run.together:
+                zone = zone or site
+                if site != zone:
+                    continue
+            most = left
+            if run.spread:
+                most = min(most, job.zone_max - job.zones[site] - sites.get(site, 0))
+            chosen, count = self._free_up(room, run, victims, most)
+            if count > 0:
+                got.append((room, chosen, count))
+                sites[site] = sites.get(site, 0) + count
+                left -= count
+        if not got or (whole and left > 0):
+            return 0
+        for room, chosen, count in got:
+            for held in chosen:
+                room.stop(held)
+                self.plan.stops.append(held)
+            self._commit(job, [(room, count)])
+        return wanted - left
+
+    @staticmethod
+    def _free_up(room: Room, run: Run, victims: list[Hold], most: int) -> tuple[list[Hold], int]:
+        """Choose victims on one machine until `most` tasks fit, or all that would."""
+        vcpus = room.vcpus + room.dying_vcpus
+        cards = room.cards + room.dying_cards
+        mem = room.mem + room.dying_mem
+        chosen: list[Hold] = []
+        count = 0
+        useful = 0
+        for held in victims:
+            if count >= most:
+                break
+            other = held.job
+            assert other is not None  # may_preempt let it through
+            helps = (
+                (run.vcpus > 0 and other.run.vcpus > 0)
+                or (run.cards > 0 and other.run.cards > 0)
+                or (run.mem_gb > 0 and other.run.mem_gb > 0)
+            )
+            if not helps:
+                continue
+            vcpus += other.run.vcpus
+            cards += other.run.cards
+            mem += other.run.mem_gb
+            chosen.append(held)
+            fit = most
+            for need, have in ((run.vcpus, vcpus), (run.cards, cards), (run.mem_gb, mem)):
+                if need > 0:
+                    fit = min(fit, int((have + EPSILON) / need)) if have > 0 else 0
+            if fit > count:
+                count = fit
+                useful = len(chosen)
+        return chosen[:useful], count
--- /dev/null
+++ b/src/ryewing/settings.py
@@ -0,0 +1,197 @@
+"""The platform's settings file, checked: the first errors, each with its field's path."""
+
+from __future__ import annotations
+
+import math
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+Address = tuple[str, int]
+
+
+class BadSettings(ValueError):
+    """The settings can't be used; the message names the field."""
+
+
+class Member(msgspec.Struct, frozen=True):
+    """Another controller."""
+
+    node: str
+    domain: str
+    address: str
+
+
+class Endpoints(msgspec.Struct, frozen=True):
+    """Where the cloud and the state service are."""
+
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee and limit; 0 means none."""
+
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True, rename={"jobclass": "class"}):
+    """One aim of the users."""
+
+    kind: str
+    share: float = 0.0
+    jobclass: str | None = None
+    within_s: float | None = None
+    times: float | None = None
+
+
+class WorkerTimes(msgspec.Struct, frozen=True):
+    """The times that workers keep to."""
+
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+
+
+class StateLimits(msgspec.Struct, frozen=True):
+    """What the state service takes, all controllers together."""
+
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class CloudLimits(msgspec.Struct, frozen=True):
+    """What the cloud takes, all controllers together."""
+
+    rps: float
+    list_lag_s: float
+
+
+class Resources(msgspec.Struct, frozen=True):
+    """What this process may use."""
+
+    core_share: float = 1.0
+    mem_mb: float = 256.0
+    fd_limit: int = 1024
+
+
+class Params(msgspec.Struct, frozen=True):
+    """What is the same for every controller."""
+
+    zones: list[str]
+    teams: list[Team]
+    workers: WorkerTimes
+    state: StateLimits
+    cloud: CloudLimits
+    count: int = 1
+    objectives: list[Objective] = []
+    resources: Resources = Resources()
+    clock_off_ms: float = 0.0
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """One controller's settings."""
+
+    node: str
+    domain: str
+    api_addr: str
+    mesh_addr: str
+    members: list[Member]
+    endpoints: Endpoints
+    params: Params
+
+
+def parse_address(text: str) -> Address:
+    """Read `10.0.0.1:8080`; raise ValueError if it is something else."""
+    host, colon, port = text.rpartition(":")
+    parts = host.split(".")
+    numeric = len(parts) == 4 and all(p.isdecimal() and int(p) < 256 for p in parts)
+    if not colon or not numeric or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not an IPv4 address with a port")
+    return host, int(port)
+
+
+_POSITIVE = (
+    ("workers", ("report_s", "lease_s", "gang_wait_s", "gang_peer_s", "cancel_s")),
+    ("state", ("rps", "write_rps", "value_kb", "txn_ops")),
+    ("cloud", ("rps",)),
+    ("resources", ("core_share", "mem_mb", "fd_limit")),
+)
+
+
+def check(settings: Settings) -> list[str]:
+    """Return every problem found, each with the path of its field."""
+    errors: list[str] = []
+
+    def address(path: str, text: str) -> None:
+        try:
+            parse_address(text)
+        except ValueError as error:
+            errors.append(f"{path}: {error}")
+
+    address("api_addr", settings.api_addr)
+    address("mesh_addr", settings.mesh_addr)
+    address("endpoints.cloud", settings.endpoints.cloud)
+    address("endpoints.state", settings.endpoints.state)
+    seen = {settings.node}
+    for i, member in enumerate(settings.members):
+        address(f"members[{i}].address", member.address)
+        if member.node in seen:
+            errors.append(f"members[{i}].node: {member.node!r} appears twice")
+        seen.add(member.node)
+    params = settings.params
+    for group, names in _POSITIVE:
+        for name in names:
+            value = getattr(getattr(params, group), name)
+            if not math.isfinite(value) or value <= 0:
+                errors.append(f"params.{group}.{name}: must be above 0")
+    names_seen: set[str] = set()
+    for i, team in enumerate(params.teams):
+        if team.name in names_seen:
+            errors.append(f"params.teams[{i}].name: {team.name!r} appears twice")
+        names_seen.add(team.name)
+        for name in ("cpus", "cpus_max", "gpus", "gpus_max"):
+            if getattr(team, name) < 0:
+                errors.append(f"params.teams[{i}].{name}: must not be negative")
+    if params.workers.cancel_s <= params.workers.lease_s:
+        errors.append("params.workers.cancel_s: must be above params.workers.lease_s")
+    return errors
+
+
+def _convert(raw: dict[str, Any]) -> Settings:
+    """Accept `resources` and `clock_off_ms` at the top level as well as under `params`."""
+    params = raw.get("params")
+    if isinstance(params, dict):
+        for name in ("resources", "clock_off_ms"):
+            if name not in params and name in raw:
+                params[name] = raw[name]
+    return msgspec.convert(raw, Settings)
+
+
+def load(path: str | Path) -> Settings:
+    """Read and check a settings file; raise BadSettings with the first errors."""
+    try:
+        raw = msgspec.json.decode(Path(path).read_bytes())
+    except OSError as error:
+        raise BadSettings(f"{path}: {error.strerror}") from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise BadSettings(f"{path}: not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise BadSettings(f"{path}: not an object")
+    try:
+        settings = _convert(raw)
+    except msgspec.ValidationError as error:
+        raise BadSettings(f"{path}: {str(error).replace('`$.', '`')}") from None
+    errors = check(settings)
+    if errors:
+        raise BadSettings("; ".join(f"{path}: {e}" for e in errors[:5]))
+    return settings
--- /dev/null
+++ b/src/ryewing/stops.py
@@ -0,0 +1,100 @@
+"""Stops as tombstones: kept and resent until the worker reports the task gone.
+
+Pure: the clock is passed in. A tombstone names one attempt on one machine, so that however late
+a copy of it arrives, it can't hit a later start of the same task.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from .units import Attempt, MachineId, Steady, TaskId
+from .wire import Order
+
+RESEND_S = 1.0
+
+
+class Tombstone:
+    """One stop that is under way."""
+
+    __slots__ = ("attempt", "created_at", "machine", "mercy_s", "sent_at", "task", "why")
+
+    def __init__(
+        self,
+        machine: MachineId,
+        task: TaskId,
+        attempt: Attempt,
+        mercy_s: float,
+        why: str,
+        now: Steady,
+    ) -> None:
+        self.machine = machine
+        self.task = task
+        self.attempt = attempt
+        self.mercy_s = mercy_s
+        self.why = why
+        self.created_at = now
+        self.sent_at: Steady | None = None
+
+    def order(self) -> Order:
+        """Give the command that carries this stop."""
+        return Order("halt", str(self.task), int(self.attempt), self.mercy_s)
+
+
+class Stops:
+    """All tombstones, by machine."""
+
+    def __init__(self) -> None:
+        self._by_machine: dict[MachineId, dict[tuple[TaskId, Attempt], Tombstone]] = {}
+
+    def add(
+        self,
+        machine: MachineId,
+        task: TaskId,
+        attempt: Attempt,
+        mercy_s: float,
+        why: str,
+        now: Steady,
+    ) -> bool:
+        """Ask for a stop; a later ask can only shorten the mercy. True if it is news."""
+        stones = self._by_machine.setdefault(machine, {})
+        old = stones.get((task, attempt))
+        if old is None:
+            stones[task, attempt] = Tombstone(machine, task, attempt, mercy_s, why, now)
+            return True
+        if mercy_s < old.mercy_s:
+            old.mercy_s = mercy_s
+            old.sent_at = None
+            return True
+        return False
+
+    def has(self, machine: MachineId, task: TaskId, attempt: Attempt) -> bool:
+        """Tell whether this attempt is being stopped."""
+        return (task, attempt) in self._by_machine.get(machine, ())
+
+    def gone(self, machine: MachineId, task: TaskId, attempt: Attempt) -> None:
+        """The worker no longer has the attempt: the tombstone has done its work."""
+        stones = self._by_machine.get(machine)
+        if stones is not None:
+            stones.pop((task, attempt), None)
+            if not stones:
+                del self._by_machine[machine]
+
+    def machine_gone(self, machine: MachineId) -> None:
+        """Nothing is on the machine any more."""
+        self._by_machine.pop(machine, None)
+
+    def orders(self, machine: MachineId, now: Steady) -> list[Order]:
+        """Give every stop of a machine, for a report response."""
+        stones = self._by_machine.get(machine)
+        if not stones:
+            return []
+        for stone in stones.values():
+            stone.sent_at = now
+        return [stone.order() for stone in stones.values()]
+
+    def due(self, now: Steady) -> Iterator[MachineId]:
+        """Name the machines to which stops have to be (re)sent directly."""
+        for machine, stones in self._by_machine.items():
+            if any(s.sent_at is None or now - s.sent_at >= RESEND_S for s in stones.values()):
+                yield machine
--- /dev/null
+++ b/src/ryewing/store.py
@@ -0,0 +1,205 @@
+"""The client of the state service: the only place that outlives a controller.
+
+Transactions are conditional; what got no answer may still be applied later, which is why
+every caller names the versions it has read (and the leader always its own term's key).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from .settings import Address, StateLimits
+from .transport import HttpClient, Reply, Unreachable
+from .units import Epoch, Stamp
+from .wire import ChangeLog, Entry, EntryPage, HoldAnswer, TxnAnswer
+
+DEADLINE_S = 1.5
+T = TypeVar("T")
+Relay = Callable[[str, str, bytes | None], Reply | None]
+
+
+class StoreDown(Exception):
+    """The store could not be asked, or its answer did not come."""
+
+
+class Throttled(StoreDown):
+    """The store says that it is asked too much."""
+
+
+class Compacted(Exception):
+    """The watch's revision is too old: read the keys again."""
+
+
+class LeaseLost(Exception):
+    """The lease is gone."""
+
+
+class Put:
+    """A key to be set, with the lease that it hangs on, if any."""
+
+    __slots__ = ("key", "tenancy", "value")
+
+    def __init__(self, key: str, value: Any, tenancy: int | None = None) -> None:
+        self.key = key
+        self.value = value
+        self.tenancy = tenancy
+
+    def encode(self) -> dict[str, Any]:
+        """Give the form that goes into a transaction."""
+        write: dict[str, Any] = {"set": self.key, "data": self.value}
+        if self.tenancy is not None:
+            write["tenancy"] = self.tenancy
+        return write
+
+
+class Remove:
+    """A key to be deleted."""
+
+    __slots__ = ("key",)
+
+    def __init__(self, key: str) -> None:
+        self.key = key
+
+    def encode(self) -> dict[str, Any]:
+        """Give the form that goes into a transaction."""
+        return {"remove": self.key}
+
+
+class TxnResult:
+    """How a transaction ended: applied, or the keys whose condition failed."""
+
+    __slots__ = ("epoch", "failed", "ok")
+
+    def __init__(self, ok: bool, epoch: Epoch, failed: frozenset[str]) -> None:
+        self.ok = ok
+        self.epoch = epoch
+        self.failed = failed
+
+
+class Store:
+    """Requests to the state service.
+
+    A node that alone can't reach the service may hand a request to a peer (`relay`): reads
+    and conditional transactions mean the same whoever sends them.
+    """
+
+    def __init__(self, address: Address, limits: StateLimits, keep: int = 6) -> None:
+        self._http = HttpClient(address, keep)
+        self._watches = HttpClient(address, 2)
+        self.limits = limits
+        self.relay: Relay | None = None
+
+    def raw(
+        self, method: str, path: str, body: bytes | None, deadline_s: float = DEADLINE_S
+    ) -> Reply:
+        """Do one request; raise StoreDown when the service did not answer or would not."""
+        try:
+            reply = self._http.request(method, path, body, deadline_s)
+        except Unreachable as error:
+            raise StoreDown(str(error)) from None
+        if reply.status == 429:
+            raise Throttled("429")
+        if reply.status >= 500:
+            raise StoreDown(str(reply.status))
+        return reply
+
+    def _ask(self, method: str, path: str, body: bytes | None = None) -> Reply:
+        try:
+            return self.raw(method, path, body)
+        except Throttled:
+            raise
+        except StoreDown:
+            if self.relay is None:
+                raise
+            relayed = self.relay(method, path, body)
+            if relayed is None:
+                raise
+            return relayed
+
+    def get(self, key: str) -> Entry | None:
+        """Read one key."""
+        reply = self._ask("GET", f"/store/{quote(key)}")
+        if reply.status == 404:
+            return None
+        return _decode(reply, Entry)
+
+    def pages(self, prefix: str) -> Iterator[EntryPage]:
+        """Read every key with the prefix, page by page."""
+        since = ""
+        while True:
+            path = f"/store?starts={quote(prefix)}&page=1000"
+            if since:
+                path += f"&since={quote(since)}"
+            page = _decode(self._ask("GET", path), EntryPage)
+            yield page
+            if not page.has_next or not page.pairs:
+                return
+            since = page.pairs[-1].k
+
+    def listing(self, prefix: str) -> tuple[list[Entry], Epoch]:
+        """Read every key with the prefix, and the epoch from which to watch.
+
+        The first page's epoch counts: changes during the reading are seen by the watch again.
+        """
+        entries: list[Entry] = []
+        epoch: int | None = None
+        for page in self.pages(prefix):
+            entries.extend(page.pairs)
+            if epoch is None:
+                epoch = page.epoch
+        return entries, Epoch(epoch or 0)
+
+    def txn(self, conditions: dict[str, Stamp], writes: Iterable[Put | Remove]) -> TxnResult:
+        """Apply the writes if every key has the given version."""
+        body = msgspec.json.encode(
+            {
+                "if": [{"k": key, "stamp": stamp} for key, stamp in conditions.items()],
+                "writes": [write.encode() for write in writes],
+            }
+        )
+        reply = self._ask("POST", "/txn", body)
+        if reply.status == 400 and b"lease" in reply.body:
+            raise LeaseLost(reply.body.decode("utf-8", "replace"))
+        if reply.status not in (200, 409):
+            raise StoreDown(f"{reply.status}: {reply.body[:200]!r}")
+        answer = msgspec.json.decode(reply.body, type=TxnAnswer)
+        return TxnResult(reply.status == 200, Epoch(answer.epoch), frozenset(answer.failed))
+
+    def grant(self, ttl_s: float) -> int:
+        """Obtain a lease."""
+        body = msgspec.json.encode({"ttl_ms": int(ttl_s * 1000)})
+        return _decode(self.raw("POST", "/holds", body), HoldAnswer).tenancy
+
+    def renew(self, tenancy: int, deadline_s: float) -> None:
+        """Renew a lease; raise LeaseLost if it is gone."""
+        reply = self.raw("POST", f"/holds/{tenancy}/renew", b"{}", deadline_s)
+        if reply.status == 404:
+            raise LeaseLost(str(tenancy))
+        if reply.status != 200:
+            raise StoreDown(str(reply.status))
+
+    def watch(self, prefix: str, since: Epoch, wait_s: float) -> ChangeLog:
+        """Wait for changes under the prefix."""
+        path = f"/changes?starts={quote(prefix)}&since={since}&wait_ms={int(wait_s * 1000)}"
+        try:
+            reply = self._watches.request("GET", path, None, wait_s + 2.0)
+        except Unreachable as error:
+            raise StoreDown(str(error)) from None
+        if reply.status == 410:
+            raise Compacted
+        if reply.status == 429:
+            raise Throttled("429")
+        return _decode(reply, ChangeLog)
+
+
+def _decode(reply: Reply, kind: type[T]) -> T:
+    if reply.status != 200:
+        raise StoreDown(f"{reply.status}: {reply.body[:200]!r}")
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise StoreDown(f"unreadable answer: {error}") from None
--- /dev/null
+++ b/src/ryewing/units.py
@@ -0,0 +1,85 @@
+"""Ids, versions and times as small types of their own.
+
+Mixing up a steady time with a time of day, or a term with a stamp, is the kind of
+mistake that only shows during a failure; the type checker finds it before that.
+"""
+
+from __future__ import annotations
+
+import re
+from time import monotonic, time
+from typing import NamedTuple, NewType
+
+JobId = NewType("JobId", str)
+MachineId = NewType("MachineId", str)
+TeamName = NewType("TeamName", str)
+NodeName = NewType("NodeName", str)
+Zone = NewType("Zone", str)
+FlavourName = NewType("FlavourName", str)
+
+Term = NewType("Term", int)
+"""Who may command: raised by every new leader; it is also the token workers see."""
+Stamp = NewType("Stamp", int)
+"""The state service's version of one key; 0 says that the key does not exist."""
+Epoch = NewType("Epoch", int)
+"""The state service's change counter."""
+Attempt = NewType("Attempt", int)
+
+Steady = NewType("Steady", float)
+"""A reading of this process's steady clock: for deadlines and leases."""
+WallTime = NewType("WallTime", float)
+"""A time of day: for ages that must outlive a process; off by up to the settings' bound."""
+
+DRIFT = 0.001
+"""Twice the 0.05% by which two machines' steady clocks may drift apart."""
+
+_JOB_ID = re.compile(r"run-[0-9]{1,18}")
+_ATTEMPT_BITS = 24
+
+
+class TaskId(NamedTuple):
+    """One task: its job and its number in it."""
+
+    job: JobId
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.job}/{self.number}"
+
+
+class ReportVersion(NamedTuple):
+    """Orders a worker's messages: the larger one is the newer one."""
+
+    tenure: int
+    tick: int
+
+
+NEVER_HEARD = ReportVersion(0, 0)
+
+
+def steady_now() -> Steady:
+    """Read the steady clock."""
+    return Steady(monotonic())
+
+
+def wall_now() -> WallTime:
+    """Read the time of day."""
+    return WallTime(time())
+
+
+def is_job_id(text: object) -> bool:
+    """Tell whether this is a job id in the form that users always use."""
+    return isinstance(text, str) and _JOB_ID.fullmatch(text) is not None
+
+
+def parse_task(text: str) -> TaskId | None:
+    """Read `run-000412/3`; None if it is nothing of the kind."""
+    job, slash, index = text.partition("/")
+    if not slash or not index.isdecimal() or not is_job_id(job):
+        return None
+    return TaskId(JobId(job), int(index))
+
+
+def attempt_of(term: Term, counter: int) -> Attempt:
+    """Derive an attempt number that no other term can give out."""
+    return Attempt((int(term) << _ATTEMPT_BITS) | counter)
--- /dev/null
+++ b/src/ryewing/workers.py
@@ -0,0 +1,67 @@
+"""The client of the workers' own addresses: handshakes, halts and clears.
+
+Starts are never sent this way. A command held back by the network is executed whenever it
+arrives while token and session match, so a start could come minutes late; a halt or a clear
+names one attempt, and attempts are never given out twice.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import msgspec
+
+from .settings import parse_address
+from .transport import HttpClient, Unreachable
+from .units import Term
+from .wire import Malformed, Order, Orders, Report, read_report
+
+DEADLINE_S = 2.0
+KEPT = 128
+
+
+class WorkerSilent(Exception):
+    """The worker did not answer."""
+
+
+class Workers:
+    """Direct commands, over a bounded number of kept connections."""
+
+    def __init__(self) -> None:
+        self._clients: OrderedDict[str, HttpClient] = OrderedDict()
+
+    def _client(self, addr: str) -> HttpClient:
+        client = self._clients.pop(addr, None)
+        if client is None:
+            client = HttpClient(parse_address(addr), 1)
+        self._clients[addr] = client
+        if len(self._clients) > KEPT:
+            self._clients.popitem(last=False)[1].close()
+        return client
+
+    def send(self, addr: str, term: Term, tenure: int, orders: Sequence[Order]) -> Report:
+        """Send commands; return the worker's report, which tells if they were taken.
+
+        An empty list is the handshake: a worker that takes it refuses older terms from then on.
+        """
+        if any(order.verb == "start" for order in orders):
+            raise ValueError("starts ride in report responses only")
+        body = msgspec.json.encode(Orders(int(term), tenure, list(orders)))
+        try:
+            client = self._client(addr)
+            reply = client.request("POST", "/orders", body, DEADLINE_S)
+        except (Unreachable, ValueError) as error:
+            raise WorkerSilent(str(error)) from None
+        if reply.status not in (200, 409):
+            raise WorkerSilent(str(reply.status))
+        try:
+            return read_report(reply.body)
+        except Malformed as error:
+            raise WorkerSilent(str(error)) from None
+
+    def forget(self, addr: str) -> None:
+        """Drop what is kept for an address whose machine is gone."""
+        client = self._clients.pop(addr, None)
+        if client is not None:
+            client.close()
