--- a/src/ryewing/api.py
+++ b/src/ryewing/api.py
@@ -175,6 +175,7 @@
         try:
             run = read_run(body)
         except Malformed as error:
+            log.info("event=refused job=%s status=400 why=%r", job, str(error))
             refusal = Response(400, {"error": str(error)})
         else:
             flavours = node.known_flavours()
--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -10,6 +10,7 @@
 
 import base64
 import binascii
+import math
 from collections import Counter
 from collections.abc import Iterator
 
@@ -148,6 +149,11 @@
         """Tell whether all tasks run at the same time."""
         return self.run.shape == "group"
 
+    @property
+    def endless(self) -> bool:
+        """Tell whether the tasks run until the job is cancelled."""
+        return self.run.shape == "daemon"
+
     @property
     def complete(self) -> bool:
         """Tell whether every task is done."""
@@ -167,6 +173,8 @@
 
     def estimate_s(self) -> float:
         """Estimate a task's run time: the owner's guess, corrected by what was seen."""
+        if self.endless:
+            return math.inf
         if self.run_seen_s is not None:
             return self.run_seen_s
         return max(1.0, self.run.guess_s)
--- a/src/ryewing/wire.py
+++ b/src/ryewing/wire.py
@@ -15,6 +15,9 @@
 MAX_TASKS = 100_000
 RANKS = ("production", "urgent", "standard", "idle")
 """From the most to the least important."""
+SHAPES = ("batch", "group", "daemon")
+"""`daemon` stands on no page, but users' real submissions name it: tasks like a batch's that run
+until the job is cancelled (docs/questions.md)."""
 
 
 class Run(msgspec.Struct, omit_defaults=True):
@@ -226,8 +229,8 @@
         run = _run_decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise Malformed(str(error)) from None
-    if run.shape not in ("batch", "group"):
-        raise Malformed("shape: must be batch or group")
+    if run.shape not in SHAPES:
+        raise Malformed(f"shape: must be one of {', '.join(SHAPES)}")
     if run.rank not in RANKS:
         raise Malformed(f"rank: must be one of {', '.join(RANKS)}")
     if not 1 <= run.pieces <= MAX_TASKS:
