Leave processors to the tasks of free cards, loaner jobs to spot machines first

Cause: on machines with cards, tasks without cards held the processors that the cards' tasks need (defaultmodel waited 60 s at the median while cards lay idle). Ruled out: too few machines (all 32 were up).

--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -68,6 +68,7 @@
 WATCH_S = 8.0
 LIST_EVERY_S = 4.0
 FLAVOURS_EVERY_S = 60.0
+TELL_EVERY_S = 10.0
 
 
 class MachineRecord(msgspec.Struct, omit_defaults=True):
@@ -135,6 +136,7 @@
         self._senders = Pool(24)
         self._sending: set[MachineId] = set()
         self._rng = random.Random()
+        self._per_card = placement.NO_CARDS
         self._attempts = 0
         self._hires = 0
         self._pending_hires: dict[str, Hire] = {}
@@ -147,6 +149,7 @@
         self._gathered = False
         self._short: list[tuple[Job, int]] = []
         self._listed_at = Steady(-1e9)
+        self._told_at = Steady(-1e9)
         self._flavours_at = Steady(-1e9)
         # Some of the write rate is left to renewals and to accepting submissions.
         limits = settings.params.state
@@ -576,6 +579,8 @@
             self._short = []
             return
         jobs.sort(key=placement.order_key)
+        for wanting in jobs:
+            self._per_card = self._per_card.widened(wanting.run)
         fresh = now - 2.5 * self.settings.params.workers.report_s
         rooms = []
         for machine in self.picture.machines.values():
@@ -593,9 +598,9 @@
             sum(m.flavour.vcpus for m in unheard),
             sum(m.flavour.cards for m in unheard),
         )
-        plan = placement.Pass(rooms, quota, now, self._rng, self.policy.sample, self._avoid).run(
-            jobs
-        )
+        plan = placement.Pass(
+            rooms, quota, now, self._rng, self.policy.sample, self._per_card, self._avoid
+        ).run(jobs)
         for batch in plan.batches:
             self._apply(batch, now)
         for held in plan.stops:
@@ -814,6 +819,7 @@
         while True:
             gevent.sleep(0.25)
             now = steady_now()
+            self._log_state(now)
             for machine in self.picture.expire(now):
                 log.info("event=lease-over machine=%s", machine.id)
                 self._place.set()
@@ -829,6 +835,34 @@
                 for machine in self.picture.unheard():
                     self._send_soon(machine)
 
+    def _log_state(self, now: Steady) -> None:
+        """Tell a reader of the log, every ten seconds, what there is and what waits."""
+        if now - self._told_at < TELL_EVERY_S:
+            return
+        self._told_at = now
+        kinds: dict[str, list[float]] = {}
+        for machine in self.picture.machines.values():
+            kind = machine.flavour.sku + ("/spot" if machine.loaner else "")
+            row = kinds.setdefault(kind, [0, 0, 0.0, 0.0])
+            row[0] += 1
+            if machine.usable():
+                row[1] += 1
+                row[2] += machine.vcpus
+                row[3] += machine.cards
+        waiting: dict[str, int] = {}
+        for job, count in self._short:
+            waiting[job.run.jobclass] = waiting.get(job.run.jobclass, 0) + count
+        log.info(
+            "event=state jobs=%d machines=%s short=%s",
+            len(self.book.jobs),
+            ",".join(
+                f"{kind}:{int(n)}(up={int(up)};vcpus_free={v:g};cards_free={c:g})"
+                for kind, (n, up, v, c) in sorted(kinds.items())
+            )
+            or "-",
+            ",".join(f"{name}:{count}" for name, count in sorted(waiting.items())) or "-",
+        )
+
     # -- the fleet --------------------------------------------------------------------------
 
     def _fleet_loop(self) -> None:
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -10,6 +10,7 @@
 
 import random
 from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
 
 from .jobs import Job
 from .picture import SAVING, Hold, Machine
@@ -22,6 +23,28 @@
 """Tasks stopped for one job in one pass: bounds the work of a pass."""
 
 
+class PerCard(NamedTuple):
+    """The most that recent tasks took beside each card.
+
+    Without it, tasks that need no card fill the processors of machines with cards, and the
+    dearest room of the fleet lies idle.
+    """
+
+    vcpus: float = 0.0
+    mem_gb: float = 0.0
+
+    def widened(self, run: Run) -> PerCard:
+        """Take a job into account."""
+        if run.cards <= 0:
+            return self
+        return PerCard(
+            max(self.vcpus, run.vcpus / run.cards), max(self.mem_gb, run.mem_gb / run.cards)
+        )
+
+
+NO_CARDS = PerCard()
+
+
 class Room:
     """A machine's room during one pass."""
 
@@ -58,9 +81,17 @@
         self.stopping.add(held)
         self._add_dying(held)
 
-    def count(self, run: Run, limit: int, with_dying: bool = False) -> int:
-        """Tell how many tasks of this kind fit, up to a limit."""
+    def count(
+        self, run: Run, limit: int, with_dying: bool = False, per_card: PerCard = NO_CARDS
+    ) -> int:
+        """Tell how many tasks of this kind fit, up to a limit.
+
+        Tasks without cards leave what the free cards' tasks will need.
+        """
         vcpus, cards, mem = self.vcpus, self.cards, self.mem
+        if run.cards <= 0 and cards > 0:
+            vcpus -= cards * per_card.vcpus
+            mem -= cards * per_card.mem_gb
         if with_dying:
             vcpus += self.dying_vcpus
             cards += self.dying_cards
@@ -222,6 +253,7 @@
         now: Steady,
         rng: random.Random,
         sample: int,
+        per_card: PerCard = NO_CARDS,
         avoid: Callable[[Job, Machine], bool] = lambda _job, _machine: False,
     ) -> None:
         self._rooms = rooms
@@ -229,6 +261,7 @@
         self._now = now
         self._rng = rng
         self._sample = sample
+        self._per_card = per_card
         self._avoid = avoid
         self.plan = Plan()
 
@@ -292,12 +325,19 @@
     ) -> list[tuple[Room, int]]:
         """Choose rooms for up to `wanted` tasks, or for all of them or none if `whole`."""
         run = job.run
-        fitting = [room for room in rooms if room.count(run, 1, with_dying)]
+        fitting = [room for room in rooms if room.count(run, 1, with_dying, self._per_card)]
         if not fitting:
             return []
-        # The design says fullest first. The image comes before that: a fetch takes longer than
-        # most tasks wait, and a machine that has the image is among the used ones anyway.
-        fitting.sort(key=lambda r: (not r.machine.has_image(run.bundle), r.free_share()))
+        # The design says fullest first. Two things come before that: the image, since a fetch
+        # takes longer than most tasks wait; and for jobs that may use spot machines those,
+        # since other jobs can only use the ordinary ones.
+        fitting.sort(
+            key=lambda r: (
+                not r.machine.has_image(run.bundle),
+                run.loaner and not r.machine.loaner,
+                r.free_share(),
+            )
+        )
         zones: list[Zone | None] = [zone]
         if run.together and zone is None:
             there = [z for z, count in job.zones.items() if count > 0]
@@ -315,7 +355,7 @@
                 most = left
                 if run.spread:
                     most = min(most, job.zone_max - job.zones[site] - by_zone.get(site, 0))
-                count = room.count(run, most, with_dying) if most > 0 else 0
+                count = room.count(run, most, with_dying, self._per_card) if most > 0 else 0
                 if count > 0:
                     parts.append((room, count))
                     by_zone[site] = by_zone.get(site, 0) + count
