Order jobs by what can still be on time; clear directly after the write

Cause: with all machines busy, first come first served made most jobs late (docread waited 89 s at p90 with every card in use). Ruled out: more machines, none are to be had.

--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -107,6 +107,7 @@
         "failed_on",
         "gang_attempt",
         "guaranteed",
+        "guess_factor",
         "id",
         "inherited",
         "live",
@@ -140,6 +141,8 @@
         self.backoff_s = 0.0
         self.backoff_until = Steady(0.0)
         self.run_seen_s: float | None = None
+        self.guess_factor = 1.0
+        """How much longer than guessed the class's tasks were seen to take, within bounds."""
         self._done = bytearray((self.run.pieces + 7) // 8)
         self._returned: list[int] = []
         self._cursor = 0
@@ -177,7 +180,7 @@
             return math.inf
         if self.run_seen_s is not None:
             return self.run_seen_s
-        return max(1.0, self.run.guess_s)
+        return max(1.0, self.run.guess_s * self.guess_factor)
 
     def is_done(self, index: int) -> bool:
         """Tell whether the task has finished."""
@@ -244,6 +247,10 @@
         return RunStatus(self.id, state, self.done_count, self.running)
 
 
+GUESS_FACTOR = (0.5, 2.0)
+"""Owners' guesses lie, but so may the few tasks seen: the correction is bounded."""
+
+
 class Book:
     """The live jobs, and which of them have something to place or to write."""
 
@@ -253,6 +260,7 @@
         """Jobs that may have a shortfall; kept so that no pass looks at all jobs."""
         self.dirty: set[JobId] = set()
         """Jobs with finishes, or a final state, to be written."""
+        self._factors: dict[str, float] = {}
 
     def __iter__(self) -> Iterator[Job]:
         return iter(self.jobs.values())
@@ -266,6 +274,7 @@
         job = self.jobs.get(JobId(record.run.ref))
         if job is None:
             job = Job(record, stamp, inherited)
+            job.guess_factor = self._factors.get(record.run.jobclass, 1.0)
             self.jobs[job.id] = job
         else:
             job.stamp = max(job.stamp, stamp, key=int)
@@ -273,6 +282,16 @@
         self.touch(job)
         return job
 
+    def took(self, job: Job, seconds: float) -> None:
+        """Learn from a task that was seen from its start to its end."""
+        seen = job.run_seen_s
+        job.run_seen_s = seconds if seen is None else 0.7 * seen + 0.3 * seconds
+        if job.run.guess_s > 0:
+            low, high = GUESS_FACTOR
+            factor = min(high, max(low, seconds / job.run.guess_s))
+            old = self._factors.get(job.run.jobclass, 1.0)
+            self._factors[job.run.jobclass] = 0.95 * old + 0.05 * factor
+
     def touch(self, job: Job) -> None:
         """Sort a job into the sets after a change."""
         if job.shortfall > 0:
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -17,7 +17,7 @@
 from gevent.event import Event
 from gevent.pool import Pool
 
-from . import fleet, placement
+from . import fleet, placement, queueing
 from .budget import Budget
 from .cloud import RELEASE_MAX, RENT_MAX, Cloud, CloudDown, NoCapacity
 from .jobs import (
@@ -53,6 +53,7 @@
     Zone,
     attempt_of,
     steady_now,
+    wall_now,
 )
 from .wire import Flavour, FlavourList, Hire, Order, Report, ReportAnswer, RunStatus
 from .workers import Workers, WorkerSilent
@@ -512,7 +513,7 @@
             now = steady_now()
             if not self.authority.may_answer(now):
                 return
-            orders = self.stops.orders(machine.id, now)[:ORDERS_MAX]
+            orders = [*self._clears(machine), *self.stops.orders(machine.id, now)][:ORDERS_MAX]
             tenure = max(1, machine.version.tenure)
             for _ in range(2):
                 report = self.workers.send(machine.addr, self.term, tenure, orders)
@@ -578,7 +579,7 @@
         if not jobs:
             self._short = []
             return
-        jobs.sort(key=placement.order_key)
+        jobs = self._ordered(jobs)
         for wanting in jobs:
             self._per_card = self._per_card.widened(wanting.run)
         fresh = now - 2.5 * self.settings.params.workers.report_s
@@ -609,6 +610,16 @@
             self._stop_hold(held, mercy, "preempted", now)
         self._short = plan.short
 
+    def _ordered(self, jobs: list[Job]) -> list[Job]:
+        cards, vcpus = queueing.Supply(), queueing.Supply()
+        for machine in self.picture.machines.values():
+            if machine.usable():
+                cards.total += machine.flavour.cards
+                cards.free += machine.cards
+                vcpus.total += machine.flavour.vcpus
+                vcpus.free += machine.vcpus
+        return queueing.order(jobs, self.settings.params.objectives, cards, vcpus, wall_now())
+
     def _placeable(self, job: Job, unheard: list[Machine], now: Steady) -> bool:
         if job.cancelled or job.unwritten or now < job.backoff_until:
             # A job's finished batch is written before the job is refilled.
@@ -770,6 +781,10 @@
         if result.ok:
             for write in chosen:
                 write.done()
+            # Clearing at once makes the workers report, and reports are what starts ride on.
+            for machine in self.picture.machines.values():
+                if machine.ended:
+                    self._send_soon(machine)
         elif self.mandate.lost_by(result):
             self._lose("fenced")
             return False
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -54,6 +54,7 @@
         "ran_from",
         "sent_after",
         "task",
+        "witnessed",
     )
 
     def __init__(
@@ -74,6 +75,8 @@
         self.sent_after: ReportVersion | None = None
         """The report whose response carried the start; a later report settles it."""
         self.ran_from: Steady | None = None
+        self.witnessed = False
+        """Its run was seen to begin; a task found running after a take-over was not."""
 
 
 class Ended:
@@ -254,6 +257,7 @@
                 job.running += 1
         if phase == RUNNING and held.ran_from is None:
             held.ran_from = now
+            held.witnessed = True
         held.phase = phase
 
     # -- machines ---------------------------------------------------------------------------
@@ -387,10 +391,8 @@
         held = machine.holds.get(task)
         known = held is not None and held.attempt == attempt
         if held is not None and known:
-            if done and job is not None and held.ran_from is not None:
-                took = now - held.ran_from
-                seen = job.run_seen_s
-                job.run_seen_s = took if seen is None else 0.7 * seen + 0.3 * took
+            if done and job is not None and held.ran_from is not None and held.witnessed:
+                self.book.took(job, now - held.ran_from)
             self.drop(held, now, finished=done)
         if job is None:
             return
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -211,11 +211,6 @@
         )
 
 
-def order_key(job: Job) -> tuple[bool, int, float, str]:
-    """Sort jobs: what is guaranteed, then by rank, then by age."""
-    return (not job.guaranteed, job.rank, job.at, job.id)
-
-
 def lost_work(held: Hold, now: Steady) -> float:
     """Estimate the run time lost by stopping a task now, saving if it can."""
     if held.ran_from is None or held.job is None:
--- /dev/null
+++ b/src/ryewing/queueing.py
@@ -0,0 +1,130 @@
+"""In which order jobs get room: guaranteed work, rank, and what can still be on time.
+
+Pure: the clock is passed in. Within a rank, first come first served makes every job late once
+there is more work than room. So each job has the times by which the settings' objectives (or
+its owner) want it done, and the jobs are ordered as in Moore and Hodgson's rule: by deadline,
+and whenever one would be late, the largest so far is put off. What is put off tries for its next
+deadline; what has none left goes by age, and is brought to the front when it is far overdue, so
+that everything finishes in the end.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable, Sequence
+
+from .jobs import Job
+from .settings import Objective
+from .units import WallTime
+
+STARVED_SPANS = 3.0
+"""A job that is so many times its longest deadline old goes first in its rank."""
+STARVED_S = 900.0
+"""The same for a job without any deadline."""
+
+
+class Supply:
+    """How much of the deciding resource there is, and how much of it is free."""
+
+    __slots__ = ("free", "total")
+
+    def __init__(self, total: float = 0.0, free: float = 0.0) -> None:
+        self.total = total
+        self.free = free
+
+
+def deadlines(job: Job, objectives: Iterable[Objective]) -> tuple[WallTime, ...]:
+    """List the times by which a job should be complete, the earliest first."""
+    run = job.run
+    found: set[float] = set()
+    for objective in objectives:
+        if objective.jobclass != run.jobclass:
+            continue
+        if objective.kind == "finished" and objective.within_s is not None:
+            found.add(objective.within_s)
+        elif objective.kind == "deadline" and run.due_s is not None:
+            found.add(run.due_s * (objective.times or 1.0))
+    if not found and run.due_s is not None:
+        found.add(run.due_s)
+    return tuple(WallTime(job.at + span) for span in sorted(found))
+
+
+def demand(job: Job) -> float:
+    """Tell how much of the deciding resource one task takes: cards if it needs any."""
+    return job.run.cards if job.run.cards > 0 else max(job.run.vcpus, 1e-3)
+
+
+def starved(job: Job, times: Sequence[WallTime], now: WallTime) -> bool:
+    """Tell whether a job has waited so long that it must go first."""
+    span = STARVED_SPANS * (times[-1] - job.at) if times else STARVED_S
+    return now - job.at > span
+
+
+def _rank_order(
+    jobs: Sequence[Job], times: dict[Job, tuple[WallTime, ...]], supply: Supply, now: WallTime
+) -> list[Job]:
+    """Order the jobs of one rank that compete for one resource."""
+    first = [job for job in jobs if starved(job, times[job], now)]
+    first.sort(key=lambda job: (job.at, job.id))
+    rest = [job for job in jobs if job not in set(first)]
+    total = max(supply.total, 1e-3)
+    done: list[Job] = []
+    load = 0.0
+    level = 0
+    while rest:
+        dated: list[tuple[WallTime, str, Job]] = []
+        undated: list[Job] = []
+        for job in rest:
+            if level < len(times[job]):
+                dated.append((times[job][level], job.id, job))
+            else:
+                undated.append(job)
+        dated.sort(key=lambda item: item[:2])
+        kept: dict[Job, WallTime] = {}
+        heap: list[tuple[float, str, Job]] = []
+        put_off: list[Job] = []
+        for when, _id, job in dated:
+            estimate = job.estimate_s()
+            unit = demand(job)
+            work = job.shortfall * unit * estimate
+            if now + estimate > when:
+                put_off.append(job)
+                continue
+            kept[job] = when
+            heapq.heappush(heap, (-work, job.id, job))
+            load += work
+            if now + max(0.0, load - supply.free * estimate) / total + estimate > when:
+                largest, _id2, victim = heapq.heappop(heap)
+                load += largest
+                del kept[victim]
+                put_off.append(victim)
+        done.extend(kept)
+        if not put_off:
+            done.extend(sorted(undated, key=lambda job: (job.at, job.id)))
+            break
+        rest = put_off + undated
+        level += 1
+        if level > 8:
+            done.extend(sorted(rest, key=lambda job: (job.at, job.id)))
+            break
+    return first + done
+
+
+def order(
+    jobs: Iterable[Job],
+    objectives: Sequence[Objective],
+    cards: Supply,
+    vcpus: Supply,
+    now: WallTime,
+) -> list[Job]:
+    """Order jobs with a shortfall for a placement pass."""
+    groups: dict[tuple[bool, int, bool], list[Job]] = {}
+    times: dict[Job, tuple[WallTime, ...]] = {}
+    for job in jobs:
+        times[job] = deadlines(job, objectives)
+        key = (not job.guaranteed, job.rank, job.run.cards <= 0)
+        groups.setdefault(key, []).append(job)
+    result: list[Job] = []
+    for key in sorted(groups):
+        result.extend(_rank_order(groups[key], times, vcpus if key[2] else cards, now))
+    return result
