Wait a little for a machine with the image; the card reserve holds in preemption too

Cause: an urgent job without cards was given room by preemption on machines with cards, where the reserve then withheld it, so tasks were stopped in vain pass after pass; and tasks went cold although machines with their image were about to be free.

--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -117,6 +117,7 @@
         "running",
         "stamp",
         "unwritten",
+        "wanting_since",
         "zones",
     )
 
@@ -143,6 +144,8 @@
         self.run_seen_s: float | None = None
         self.guess_factor = 1.0
         """How much longer than guessed the class's tasks were seen to take, within bounds."""
+        self.wanting_since: Steady | None = None
+        """Since when the job has waited for a machine with its image."""
         self._done = bytearray((self.run.pieces + 7) // 8)
         self._returned: list[int] = []
         self._cursor = 0
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -581,7 +581,7 @@
             return
         jobs = self._ordered(jobs)
         for wanting in jobs:
-            self._per_card = self._per_card.widened(wanting.run)
+            self._per_card = self._per_card.widened(wanting)
         fresh = now - 2.5 * self.settings.params.workers.report_s
         rooms = []
         for machine in self.picture.machines.values():
@@ -682,6 +682,7 @@
                 attempt = gang_attempt or self._next_attempt()
                 self.picture.hold(machine, TaskId(job.id, index), attempt, PLANNED, now)
             at += n
+        job.wanting_since = None
         self.book.touch(job)
         log.info(
             "event=placed job=%s tasks=%d machines=%s short=%d",
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import logging
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterator
 
 from .jobs import Book, Job
@@ -40,6 +40,7 @@
 ENDED = "ended"
 LIVE_PHASES = frozenset((FETCHING, GATHERING, RUNNING, SAVING))
 LEASE_MARGIN_S = 0.5
+WARM, FETCHED_NOW, COLD = range(3)
 
 
 class Hold:
@@ -95,6 +96,7 @@
 
     __slots__ = (
         "addr",
+        "bundles",
         "cards",
         "ended",
         "faults",
@@ -146,6 +148,8 @@
         self.holds: dict[TaskId, Hold] = {}
         self.ended: list[Ended] = []
         self.images: OrderedDict[str, float] = OrderedDict()
+        self.bundles: Counter[str] = Counter()
+        """Images of the tasks that are here, so also of those being fetched."""
         self.faults: set[str] = set()
         self.vcpus = flavour.vcpus
         self.cards = flavour.cards
@@ -166,9 +170,11 @@
             and self.warning_s is None
         )
 
-    def has_image(self, bundle: str) -> bool:
-        """Tell whether an image is probably here, or is being fetched."""
-        return bundle in self.images
+    def warmth(self, bundle: str) -> int:
+        """Tell whether an image is probably here, is being fetched, or neither."""
+        if bundle in self.images:
+            return WARM
+        return FETCHED_NOW if self.bundles[bundle] > 0 else COLD
 
     def note_image(self, bundle: str, size_gb: float) -> None:
         """A task of this image ran here: the image is cached, the least used ones may go."""
@@ -206,6 +212,7 @@
             machine.vcpus -= run.vcpus
             machine.cards -= run.cards
             machine.mem_gb -= run.mem_gb
+            machine.bundles[run.bundle] += 1
             team = TeamName(run.owner)
             self.team_vcpus[team] = self.team_vcpus.get(team, 0.0) + run.vcpus
             self.team_cards[team] = self.team_cards.get(team, 0.0) + run.cards
@@ -234,6 +241,7 @@
         machine.vcpus += run.vcpus
         machine.cards += run.cards
         machine.mem_gb += run.mem_gb
+        machine.bundles[run.bundle] -= 1
         team = TeamName(run.owner)
         self.team_vcpus[team] -= run.vcpus
         self.team_cards[team] -= run.cards
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -13,12 +13,15 @@
 from typing import NamedTuple
 
 from .jobs import Job
-from .picture import SAVING, Hold, Machine
+from .picture import COLD, SAVING, Hold, Machine
 from .settings import Team
 from .units import Steady, TeamName, Zone
-from .wire import Run
+from .wire import RANKS, Run
 
 EPSILON = 1e-6
+COLD_DELAY = 0.5
+"""How long a job waits for a machine with its image, as a part of the fetch time."""
+COLD_DELAY_MAX_S = 20.0
 PREEMPT_MAX = 64
 """Tasks stopped for one job in one pass: bounds the work of a pass."""
 
@@ -32,15 +35,24 @@
 
     vcpus: float = 0.0
     mem_gb: float = 0.0
+    rank: int = len(RANKS)
+    """The most important rank of those tasks: more important work needs to leave nothing."""
 
-    def widened(self, run: Run) -> PerCard:
+    def widened(self, job: Job) -> PerCard:
         """Take a job into account."""
+        run = job.run
         if run.cards <= 0:
             return self
         return PerCard(
-            max(self.vcpus, run.vcpus / run.cards), max(self.mem_gb, run.mem_gb / run.cards)
+            max(self.vcpus, run.vcpus / run.cards),
+            max(self.mem_gb, run.mem_gb / run.cards),
+            min(self.rank, job.rank),
         )
 
+    def for_job(self, job: Job) -> PerCard:
+        """Give what this job has to leave."""
+        return self if job.run.cards <= 0 and job.rank >= self.rank else NO_CARDS
+
 
 NO_CARDS = PerCard()
 
@@ -89,7 +101,7 @@
         Tasks without cards leave what the free cards' tasks will need.
         """
         vcpus, cards, mem = self.vcpus, self.cards, self.mem
-        if run.cards <= 0 and cards > 0:
+        if cards > 0:
             vcpus -= cards * per_card.vcpus
             mem -= cards * per_card.mem_gb
         if with_dying:
@@ -129,6 +141,11 @@
     )
 
 
+def strands_cards(run: Run, machine: Machine) -> bool:
+    """Tell whether a task without cards would sit on a machine with cards."""
+    return run.cards <= 0 and machine.flavour.cards > 0
+
+
 class Quota:
     """Teams' limits during one pass.
 
@@ -257,6 +274,7 @@
         self._rng = rng
         self._sample = sample
         self._per_card = per_card
+        self._leave = NO_CARDS
         self._avoid = avoid
         self.plan = Plan()
 
@@ -287,6 +305,9 @@
             return
         rooms = self._candidates(job)
         left = min(wanted, allowed)
+        self._leave = self._per_card.for_job(job)
+        if not self._may_go_cold(job, rooms):
+            rooms = [room for room in rooms if room.machine.warmth(job.run.bundle) < COLD]
         placed = self._fill(job, left, rooms, whole, with_dying=False)
         if placed:
             self._commit(job, placed)
@@ -304,6 +325,21 @@
         if left > 0:
             self.plan.short.append((job, left))
 
+    def _may_go_cold(self, job: Job, rooms: list[Room]) -> bool:
+        """Delay scheduling: wait a little for a machine that has the image.
+
+        A cold start holds its room for the whole fetch, often longer than the task runs. Gangs
+        don't wait: a whole machine, or several at once, come free too seldom.
+        """
+        run = job.run
+        if job.gang or not any(room.machine.warmth(run.bundle) < COLD for room in rooms):
+            return True
+        slowest = min((r.machine.flavour.fetch_gb_per_s for r in rooms), default=1.0)
+        fetch_s = run.image_gb / max(slowest, 1e-3)
+        if job.wanting_since is None:
+            job.wanting_since = self._now
+        return self._now - job.wanting_since >= min(COLD_DELAY * fetch_s, COLD_DELAY_MAX_S)
+
     def _commit(self, job: Job, parts: list[tuple[Room, int]]) -> None:
         for room, count in parts:
             room.claim(job.run, count)
@@ -320,15 +356,16 @@
     ) -> list[tuple[Room, int]]:
         """Choose rooms for up to `wanted` tasks, or for all of them or none if `whole`."""
         run = job.run
-        fitting = [room for room in rooms if room.count(run, 1, with_dying, self._per_card)]
+        fitting = [room for room in rooms if room.count(run, 1, with_dying, self._leave)]
         if not fitting:
             return []
-        # The design says fullest first. Two things come before that: the image, since a fetch
-        # takes longer than most tasks wait; and for jobs that may use spot machines those,
-        # since other jobs can only use the ordinary ones.
+        # The design says fullest first. Before that come: machines whose cards it would not
+        # strand; the image, since a fetch takes longer than most tasks wait; and for jobs that
+        # may use spot machines those, since other jobs can only use the ordinary ones.
         fitting.sort(
             key=lambda r: (
-                not r.machine.has_image(run.bundle),
+                strands_cards(run, r.machine),
+                r.machine.warmth(run.bundle),
                 run.loaner and not r.machine.loaner,
                 r.free_share(),
             )
@@ -350,7 +387,7 @@
                 most = left
                 if run.spread:
                     most = min(most, job.zone_max - job.zones[site] - by_zone.get(site, 0))
-                count = room.count(run, most, with_dying, self._per_card) if most > 0 else 0
+                count = room.count(run, most, with_dying, self._leave) if most > 0 else 0
                 if count > 0:
                     parts.append((room, count))
                     by_zone[site] = by_zone.get(site, 0) + count
@@ -371,7 +408,7 @@
         """Stop less important work for the job; return for how many tasks room was found."""
         run = job.run
         wanted = min(wanted, PREEMPT_MAX)
-        options: list[tuple[float, int, Room, list[Hold]]] = []
+        options: list[tuple[bool, float, int, Room, list[Hold]]] = []
         for number, room in enumerate(rooms):
             if zone is not None and room.machine.site != zone:
                 continue
@@ -382,10 +419,9 @@
             ]
             if victims:
                 victims.sort(key=lambda h: (-h.job.rank if h.job else 0, lost_work(h, self._now)))
-                options.append(
-                    (sum(lost_work(h, self._now) for h in victims), number, room, victims)
-                )
-        options.sort(key=lambda option: option[:2])
+                cost = sum(lost_work(h, self._now) for h in victims)
+                options.append((strands_cards(run, room.machine), cost, number, room, victims))
+        options.sort(key=lambda option: option[:3])
         if not options:
             return 0
         if run.together and zone is None:
@@ -394,7 +430,7 @@
         got: list[tuple[Room, list[Hold], int]] = []
         left = wanted
         sites: dict[Zone, int] = {}
-        for _cost, _number, room, victims in options:
+        for _strands, _cost, _number, room, victims in options:
             if left == 0:
                 break
             site = room.machine.site
@@ -405,7 +441,7 @@
             most = left
             if run.spread:
                 most = min(most, job.zone_max - job.zones[site] - sites.get(site, 0))
-            chosen, count = self._free_up(room, run, victims, most)
+            chosen, count = self._free_up(room, run, victims, most, self._leave)
             if count > 0:
                 got.append((room, chosen, count))
                 sites[site] = sites.get(site, 0) + count
@@ -420,7 +456,9 @@
         return wanted - left
 
     @staticmethod
-    def _free_up(room: Room, run: Run, victims: list[Hold], most: int) -> tuple[list[Hold], int]:
+    def _free_up(
+        room: Room, run: Run, victims: list[Hold], most: int, leave: PerCard
+    ) -> tuple[list[Hold], int]:
         """Choose victims on one machine until `most` tasks fit, or all that would."""
         vcpus = room.vcpus + room.dying_vcpus
         cards = room.cards + room.dying_cards
@@ -445,7 +483,12 @@
             mem += other.run.mem_gb
             chosen.append(held)
             fit = most
-            for need, have in ((run.vcpus, vcpus), (run.cards, cards), (run.mem_gb, mem)):
+            kept = max(cards, 0.0)
+            for need, have in (
+                (run.vcpus, vcpus - kept * leave.vcpus),
+                (run.cards, cards),
+                (run.mem_gb, mem - kept * leave.mem_gb),
+            ):
                 if need > 0:
                     fit = min(fit, int((have + EPSILON) / need)) if have > 0 else 0
             if fit > count:
