Let preemption try every zone; use machines again whose release failed

Cause: for a job that must stay in one zone, preemption bound itself to the zone of the first machine it looked at, also when nothing could be freed there; riskscore waited up to 142 s while idle work ran on. And a release refused for the cloud's rate left its machines marked as leaving for good. Ruled out: pinned zones (all jobs allow any), memory, the card reserve.

--- a/src/ryewing/api.py
+++ b/src/ryewing/api.py
@@ -218,10 +218,14 @@
                 return self._busy("the state service can't be reached")
         if result.ok:
             log.info(
-                "event=accepted job=%s class=%s tasks=%d",
+                "event=accepted job=%s class=%s tasks=%d site=%s image=%s/%gGB guess_s=%g",
                 job,
                 record.run.jobclass,
                 record.run.pieces,
+                record.run.site or "any",
+                record.run.bundle,
+                record.run.image_gb,
+                record.run.guess_s,
             )
             return Response(201, RunStatus(job, "queued"))
         state = self._from_store(job)
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -946,7 +946,13 @@
     def _release(self, chosen: list[tuple[Machine, str]]) -> None:
         for machine, _why in chosen:
             machine.leaving = True
-        self.cloud.release([machine.id for machine, _why in chosen])
+        try:
+            self.cloud.release([machine.id for machine, _why in chosen])
+        except CloudDown:
+            # It may still be carried out late; until then the machine is used as before.
+            for machine, _why in chosen:
+                machine.leaving = False
+            raise
         now = steady_now()
         for machine, why in chosen:
             log.info(
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -424,20 +424,48 @@
         options.sort(key=lambda option: option[:3])
         if not options:
             return 0
+        zones: list[Zone | None] = [zone]
         if run.together and zone is None:
             there = [z for z, count in job.zones.items() if count > 0]
-            zone = there[0] if there else None
+            zones = list(there[:1]) or list(
+                dict.fromkeys(room.machine.site for _s, _c, _n, room, _v in options)
+            )
         got: list[tuple[Room, list[Hold], int]] = []
         left = wanted
+        for only in zones:
+            part = self._free_zone(job, wanted, options, only)
+            short = wanted - sum(count for _room, _chosen, count in part)
+            if short < left:
+                got, left = part, short
+            if left == 0:
+                break
+        if not got or (whole and left > 0):
+            return 0
+        for room, chosen, count in got:
+            for held in chosen:
+                room.stop(held)
+                self.plan.stops.append(held)
+            self._commit(job, [(room, count)])
+        return wanted - left
+
+    def _free_zone(
+        self,
+        job: Job,
+        wanted: int,
+        options: list[tuple[bool, float, int, Room, list[Hold]]],
+        only: Zone | None,
+    ) -> list[tuple[Room, list[Hold], int]]:
+        """Choose whom to stop for a job, in one zone or in any."""
+        run = job.run
+        got: list[tuple[Room, list[Hold], int]] = []
         sites: dict[Zone, int] = {}
+        left = wanted
         for _strands, _cost, _number, room, victims in options:
             if left == 0:
                 break
             site = room.machine.site
-            if run.together:
-                zone = zone or site
-                if site != zone:
-                    continue
+            if only is not None and site != only:
+                continue
             most = left
             if run.spread:
                 most = min(most, job.zone_max - job.zones[site] - sites.get(site, 0))
@@ -446,14 +474,7 @@
                 got.append((room, chosen, count))
                 sites[site] = sites.get(site, 0) + count
                 left -= count
-        if not got or (whole and left > 0):
-            return 0
-        for room, chosen, count in got:
-            for held in chosen:
-                room.stop(held)
-                self.plan.stops.append(held)
-            self._commit(job, [(room, count)])
-        return wanted - left
+        return got
 
     @staticmethod
     def _free_up(
