--- /dev/null
+++ b/tests/test_leader.py
@@ -0,0 +1,669 @@
+"""The leader against stand-ins: each argument of docs/design.md has a case that needs its guard."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+import pytest
+from standins import Clock, FakeCloud, FakeStore, FakeWorker, mandate, policy, run, settings
+
+from ryewing.cloud import CloudDown
+from ryewing.jobs import JobRecord, final_key, live_key
+from ryewing.leader import HIRE_PREFIX, MACHINE_PREFIX, Leader, MachineRecord
+from ryewing.leadership import TERM_KEY, Authority, campaign, read_view
+from ryewing.picture import GATHERING, PLANNED, RUNNING, SENT
+from ryewing.store import Put, StoreDown
+from ryewing.units import JobId, MachineId, NodeName, Stamp, Term
+from ryewing.wire import Order, Report, ReportedPiece
+
+
+class DirectWorkers:
+    """Direct commands to stand-in workers."""
+
+    def __init__(self, workers: dict[str, FakeWorker]) -> None:
+        self.workers = workers
+        self.sent: list[Order] = []
+
+    def send(self, addr: str, term: Term, tenure: int, orders: list[Order]) -> Report:
+        worker = next(w for w in self.workers.values() if w.report().addr == addr)
+        if term >= worker.mandate and tenure == worker.tenure:
+            worker.execute(term, orders)
+            self.sent.extend(orders)
+        return worker.report()
+
+    def forget(self, addr: str) -> None:
+        """Nothing is kept here."""
+
+
+class Stage:
+    """A leader with stand-ins round it, driven step by step."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.store = FakeStore()
+        self.cloud = FakeCloud()
+        self.workers: dict[str, FakeWorker] = {}
+        self.lost: list[str] = []
+        self.finals: dict[JobId, str] = {}
+        self.leader = self.new_leader(5)
+
+    def new_leader(self, term: int) -> Leader:
+        authority = Authority(3.0, policy().hold_s)
+        authority.confirm(self.clock())
+        won = mandate(term, authority)
+        result = self.store.txn({}, [Put(TERM_KEY, {"term": term})])
+        won.term_stamp = Stamp(result.epoch)
+        leader = Leader(
+            settings(),
+            policy(),
+            self.store,  # type: ignore[arg-type]
+            won,
+            self.finals.__setitem__,
+            self.lost.append,
+            lambda _flavours: None,
+        )
+        leader.cloud = self.cloud  # type: ignore[assignment]
+        leader.workers = DirectWorkers(self.workers)  # type: ignore[assignment]
+        leader._take_flavours(self.cloud.flavours())
+        leader._send_soon = lambda machine: None  # type: ignore[method-assign]
+        leader._load()
+        leader.loaded.set()
+        self.leader = leader
+        return leader
+
+    def later(self, seconds: float, renewed: bool = True) -> None:
+        self.clock.now += seconds
+        if renewed:
+            self.leader.authority.confirm(self.clock())
+
+    def accept(self, ref: str = "run-1", **changes: Any) -> JobId:
+        record = JobRecord(run(ref, **changes), 0.0)
+        result = self.store.txn({}, [Put(live_key(JobId(ref)), record)])
+        entry = self.store.get(live_key(JobId(ref)))
+        assert entry is not None
+        self.leader._job_set(entry.data, Stamp(result.epoch))
+        return JobId(ref)
+
+    def worker(self, name: str = "i-000001", **kind: Any) -> FakeWorker:
+        worker = FakeWorker(name, **kind)
+        self.workers[name] = worker
+        return worker
+
+    def exchange(self, worker: FakeWorker) -> list[Order]:
+        """One report and its answer, executed."""
+        answer = self.leader.on_report(worker.report())
+        assert answer is not None
+        worker.execute(answer.mandate, answer.orders)
+        return answer.orders
+
+    def write(self) -> None:
+        while self.leader._write_once():
+            pass
+
+    def ready(self, *workers: FakeWorker) -> None:
+        """Hear workers, record them and hear them again under our term."""
+        for worker in workers:
+            self.exchange(worker)
+        self.write()
+        for worker in workers:
+            self.exchange(worker)
+        assert self.leader._ready_to_place()
+
+    def place(self) -> None:
+        assert self.leader._ready_to_place()
+        self.leader._pass()
+
+    def holds(self, name: str = "i-000001") -> dict[str, str]:
+        machine = self.leader.picture.machines[MachineId(name)]
+        return {str(task): held.phase for task, held in machine.holds.items()}
+
+
+@pytest.fixture
+def stage(monkeypatch: pytest.MonkeyPatch) -> Iterator[Stage]:
+    clock = Clock()
+    monkeypatch.setattr("ryewing.leader.steady_now", clock)
+    monkeypatch.setattr("ryewing.leader.wall_now", lambda: 0.0)
+    monkeypatch.setattr("ryewing.leadership.steady_now", clock)
+    monkeypatch.setattr("ryewing.budget.steady_now", clock)
+    yield Stage(clock)
+
+
+def starts(orders: list[Order]) -> list[str]:
+    return sorted(order.piece for order in orders if order.verb == "start")
+
+
+def verbs(orders: list[Order]) -> list[str]:
+    return sorted(order.verb for order in orders)
+
+
+def test_the_whole_way_of_an_array(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    job = stage.accept()
+    stage.place()
+    assert len(starts(stage.exchange(worker))) == 4
+    stage.exchange(worker)
+    state = stage.leader.poll(job)
+    assert state is not None and (state.status, state.running) == ("running", 4)
+    worker.finish()
+    assert "clear" not in verbs(stage.exchange(worker))  # the finish is not written yet
+    stage.write()
+    assert stage.store.get(live_key(job)) is None
+    assert stage.store.get(final_key(job)) is not None
+    assert stage.finals == {job: "done"}
+    assert verbs(stage.exchange(worker)) == ["clear"] * 4
+    assert not worker.pieces
+
+
+def test_starts_need_handshake_record_and_lease(stage: Stage) -> None:
+    """Each guard by itself: taking any one out makes a start go out too early."""
+    worker = stage.worker()
+    stage.accept()
+    stage.ready(worker)
+    stage.place()
+    machine = stage.leader.picture.machines[MachineId(worker.name)]
+    guards: list[tuple[Callable[[], None], Callable[[], None]]] = [
+        (
+            lambda: setattr(machine, "handshaken", False),
+            lambda: setattr(machine, "handshaken", True),
+        ),
+        (lambda: setattr(machine, "recorded", False), lambda: setattr(machine, "recorded", True)),
+        (lambda: stage.later(3.1, renewed=False), lambda: stage.later(0.0)),
+        (lambda: setattr(machine, "leaving", True), lambda: setattr(machine, "leaving", False)),
+    ]
+    for take_away, give_back in guards:
+        take_away()
+        report = worker.report()
+        report.mandate = 0 if not machine.handshaken else report.mandate
+        answer = stage.leader.on_report(report)
+        assert answer is not None and not starts(answer.orders)
+        give_back()
+    assert len(starts(stage.exchange(worker))) == 4
+
+
+@pytest.mark.parametrize(
+    ("seconds", "answered"),
+    [(0.0, True), (10.0, True), (16.5, True), (17.5, False), (100.0, False)],
+)
+def test_workers_are_answered_for_the_hold_only(
+    stage: Stage, seconds: float, answered: bool
+) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    stage.later(seconds, renewed=False)
+    assert (stage.leader.on_report(worker.report()) is not None) is answered
+
+
+def test_a_report_with_a_later_token_ends_the_term(stage: Stage) -> None:
+    worker = stage.worker()
+    worker.mandate = 6
+    assert stage.leader.on_report(worker.report()) is None
+    assert stage.lost == ["overruled"]
+
+
+def test_only_a_later_report_settles_an_assumed_start(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    stage.accept(pieces=1)
+    stage.place()
+    answer = stage.leader.on_report(worker.report())  # this answer is lost on its way
+    assert answer is not None and len(starts(answer.orders)) == 1
+    machine = stage.leader.picture.machines[MachineId(worker.name)]
+    stage.leader._send(machine)  # the body of /orders does not show the task
+    assert list(stage.holds().values()) == [SENT]
+    stage.leader._pass()
+    assert list(stage.holds().values()) == [SENT]
+    assert not starts(stage.exchange(worker))  # a later report: never executed, given up
+    assert stage.holds() == {}
+
+
+def test_a_late_report_is_answered_without_starts(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    late = worker.report()
+    stage.exchange(worker)
+    stage.accept(pieces=1)
+    stage.place()
+    answer = stage.leader.on_report(late)
+    assert answer is not None and not starts(answer.orders)
+    assert list(stage.holds().values()) == [PLANNED]
+
+
+def test_a_new_session_has_forgotten_everything(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    stage.accept(pieces=1)
+    stage.place()
+    stage.exchange(worker)
+    stage.exchange(worker)
+    assert list(stage.holds().values()) == [RUNNING]
+    worker.tenure += 1
+    worker.tick = 0
+    worker.pieces.clear()
+    stage.exchange(worker)
+    assert stage.holds() == {}
+
+
+def test_attempts_are_never_repeated_after_a_takeover(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    stage.accept(pieces=1)
+    stage.place()
+    stage.exchange(worker)
+    [(_, first)] = worker.pieces
+    stage.new_leader(6)
+    worker.pieces.clear()
+    stage.ready(worker)
+    stage.place()
+    stage.exchange(worker)
+    [(_, second)] = worker.pieces
+    assert second > first
+
+
+def test_a_successor_rebuilds_from_reports(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    job = stage.accept(pieces=3)
+    stage.place()
+    stage.exchange(worker)
+    stage.exchange(worker)
+    stage.new_leader(6)
+    assert not stage.leader._ready_to_place()  # a recorded machine has not been heard
+    machine = stage.leader.picture.machines[MachineId(worker.name)]
+    stage.leader._send(machine)  # the handshake
+    assert machine.handshaken and worker.mandate == 6
+    assert stage.leader._ready_to_place()
+    stage.leader._pass()
+    found = stage.leader.book.get(job)
+    assert found is not None and found.shortfall == 0 and len(stage.holds()) == 3
+
+
+@pytest.mark.parametrize(
+    ("changes", "free_s"),
+    [({}, None), ({"flavours": ["g4"]}, 0.0)],
+)
+def test_what_an_unheard_machine_may_hold_stays_blocked(
+    stage: Stage, changes: dict[str, Any], free_s: float | None
+) -> None:
+    silent, heard = stage.worker("i-000001"), stage.worker("i-000002", flavour="g4")
+    stage.ready(silent, heard)
+    stage.accept("run-1", pieces=1, **changes)
+    stage.new_leader(6)
+    stage.exchange(heard)
+    stage.exchange(heard)
+    stage.later(policy().gather_s)
+    stage.exchange(heard)
+    new = stage.accept("run-2", pieces=1, flavours=["g4"])
+    stage.place()
+    placed = set(stage.holds("i-000002"))
+    assert f"{new}/0" in placed  # accepted after the take-over: nobody can hold it
+    assert ("run-1/0" in placed) is (free_s is not None)
+    bound = policy().hold_s + settings().params.workers.lease_s
+    stage.later(bound - policy().gather_s - 0.5)
+    stage.exchange(heard)
+    stage.leader.picture.expire(stage.clock())
+    stage.leader._pass()
+    assert ("run-1/0" in stage.holds("i-000002")) is (free_s is not None)
+    stage.later(3.0)
+    stage.exchange(heard)
+    stage.leader.picture.expire(stage.clock())  # old hold and one lease are over
+    stage.leader._pass()
+    assert "run-1/0" in stage.holds("i-000002")
+
+
+def test_a_confirmed_release_unblocks_at_once(stage: Stage) -> None:
+    silent, heard = stage.worker("i-000001"), stage.worker("i-000002")
+    stage.ready(silent, heard)
+    stage.accept("run-1", pieces=1)
+    stage.new_leader(6)
+    stage.exchange(heard)
+    stage.exchange(heard)
+    stage.later(policy().silence_s + 1.0)
+    stage.exchange(heard)
+    stage.leader._release(stage.leader._to_give_up(stage.clock()))
+    assert stage.cloud.released == ["i-000001"]
+    stage.place()
+    assert stage.holds("i-000002") == {"run-1/0": PLANNED}
+    assert stage.leader.on_report(silent.report()) is None  # a late report of a gone machine
+
+
+def test_a_late_transaction_of_an_earlier_term_dies(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    job = stage.accept(pieces=1)
+    stage.place()
+    stage.exchange(worker)
+    old = stage.leader
+    worker.finish()
+    stage.exchange(worker)
+    stage.new_leader(6)
+    old._write_once()
+    assert stage.store.get(final_key(job)) is None
+    assert stage.lost == ["fenced"]
+
+
+@pytest.mark.parametrize("cancel_first", [True, False])
+def test_cancel_and_done_cannot_both_win(stage: Stage, cancel_first: bool) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    job = stage.accept(pieces=1)
+    stage.place()
+    stage.exchange(worker)
+    worker.finish()
+    stage.exchange(worker)
+    entry = stage.store.get(live_key(job))
+    assert entry is not None
+    record = msgspec.json.decode(entry.data, type=JobRecord)
+    record.cancelled = True
+    cancel: tuple[Any, Any] = ({live_key(job): Stamp(entry.stamp)}, [Put(live_key(job), record)])
+    if cancel_first:
+        assert stage.store.txn(*cancel).ok  # written by another node, not seen here yet
+        stage.write()
+        assert stage.finals == {job: "cancelled"}
+    else:
+        stage.write()
+        assert not stage.store.txn(*cancel).ok
+        assert stage.finals == {job: "done"}
+
+
+def test_a_lost_answer_to_the_final_write_is_found_out(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    job = stage.accept(pieces=1)
+    stage.place()
+    stage.exchange(worker)
+    worker.finish()
+    stage.exchange(worker)
+    stage.store.lose_answers = True
+    with pytest.raises(StoreDown):
+        stage.leader._write_once()
+    # It may have been applied: only the store can tell a user now.
+    assert stage.leader.poll(job) is None
+    stage.store.lose_answers = False
+    stage.write()
+    assert stage.finals == {job: "done"}
+
+
+def test_no_state_is_told_without_the_lease(stage: Stage) -> None:
+    job = stage.accept()
+    assert stage.leader.poll(job) is not None
+    stage.later(3.1, renewed=False)
+    assert stage.leader.poll(job) is None
+
+
+def test_a_cancel_halts_and_never_starts_again(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    job = stage.accept(pieces=12)
+    stage.place()
+    stage.exchange(worker)
+    assert stage.leader.take_cancel(job)
+    entry = stage.store.get(live_key(job))
+    assert entry is not None
+    record = msgspec.json.decode(entry.data, type=JobRecord)
+    record.cancelled = True
+    stage.store.txn({}, [Put(live_key(job), record)])
+    entry = stage.store.get(live_key(job))
+    assert entry is not None
+    stage.leader._job_set(entry.data, Stamp(entry.stamp))
+    assert verbs(stage.exchange(worker)) == ["halt"] * 8
+    stage.exchange(worker)
+    stage.place()
+    assert not starts(stage.exchange(worker)) and stage.holds() == {}
+    stage.write()
+    assert stage.finals == {job: "cancelled"}
+
+
+def test_a_task_of_no_live_job_is_halted(stage: Stage) -> None:
+    worker = stage.worker()
+    worker.pieces[("run-77/0", 3)] = ReportedPiece("run-77/0", 3, "running")
+    assert verbs(stage.exchange(worker)) == ["halt"]
+
+
+def test_a_gang_starts_whole_and_is_replaced_under_one_attempt(stage: Stage) -> None:
+    workers = [stage.worker(f"i-{n:06d}") for n in range(1, 4)]
+    stage.ready(*workers)
+    job = stage.accept(pieces=2, shape="group", vcpus=30.0)
+    stage.place()
+    for worker in workers:
+        stage.exchange(worker)
+        for key, piece in worker.pieces.items():
+            worker.pieces[key] = ReportedPiece(piece.piece, piece.attempt, GATHERING)
+    attempts = {attempt for worker in workers for _, attempt in worker.pieces}
+    assert len(attempts) == 1
+    for worker in workers:
+        stage.exchange(worker)
+    lost = next(worker for worker in workers if worker.pieces)
+    lost.pieces.clear()
+    lost.tenure += 1
+    stage.exchange(lost)
+    stage.place()
+    for worker in workers:
+        stage.exchange(worker)
+    held = {attempt for worker in workers for _, attempt in worker.pieces}
+    assert held == attempts
+    assert sum(len(worker.pieces) for worker in workers) == 2
+    found = stage.leader.book.get(job)
+    assert found is not None and found.shortfall == 0
+
+
+def test_a_gang_that_ran_and_lost_a_task_is_cleared_before_its_next_attempt(stage: Stage) -> None:
+    workers = [stage.worker(f"i-{n:06d}") for n in range(1, 4)]
+    stage.ready(*workers)
+    stage.accept(pieces=2, shape="group", vcpus=30.0)
+    stage.place()
+    for worker in workers * 2:
+        stage.exchange(worker)
+    lost, left = [worker for worker in workers if worker.pieces]
+    old = {attempt for _, attempt in left.pieces}
+    lost.pieces.clear()
+    lost.tenure += 1
+    stage.exchange(lost)
+    stage.place()
+    for worker in workers:
+        assert not starts(stage.exchange(worker))  # the mate must be gone first
+    for worker in workers:
+        stage.exchange(worker)
+    stage.place()
+    for worker in workers:
+        stage.exchange(worker)
+    new = {attempt for worker in workers for _, attempt in worker.pieces}
+    assert len(new) == 1 and new != old
+
+
+def test_a_notice_drains_and_refills_elsewhere(stage: Stage) -> None:
+    spot, other = stage.worker("i-000001", loaner=True), stage.worker("i-000002")
+    stage.ready(spot)
+    stage.accept(pieces=1, loaner=True, savepoint_s=10.0, flush_s=4.0, guess_s=500.0)
+    stage.place()
+    stage.exchange(spot)
+    stage.exchange(spot)
+    spot.warning_s = 10.0
+    [halt] = stage.exchange(spot)
+    assert halt.verb == "halt" and halt.mercy_s == 4.0
+    stage.ready(other)
+    stage.exchange(spot)
+    stage.place()
+    assert stage.holds("i-000001") == {} and len(stage.holds("i-000002")) == 1
+
+
+def test_a_job_is_refilled_only_after_its_finishes_are_written(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    stage.accept(pieces=12)
+    stage.place()
+    stage.exchange(worker)
+    stage.exchange(worker)
+    worker.finish()
+    stage.exchange(worker)
+    stage.place()
+    assert stage.holds() == {}
+    stage.write()
+    stage.place()
+    assert len(stage.holds()) == 4
+
+
+def test_finished_tasks_are_not_run_again_by_a_successor(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    job = stage.accept(pieces=12)
+    stage.place()
+    stage.exchange(worker)
+    worker.finish()
+    stage.exchange(worker)
+    stage.write()
+    stage.new_leader(6)
+    found = stage.leader.book.get(job)
+    assert found is not None and (found.done_count, found.shortfall) == (8, 4)
+
+
+# -- renting ------------------------------------------------------------------------------------
+
+
+def rent(stage: Stage) -> None:
+    stage.place()
+    stage.leader._rent()
+
+
+def test_a_successor_repeats_a_recorded_wish_under_its_name(stage: Stage) -> None:
+    stage.accept(pieces=8)
+    stage.leader._hire = lambda hire: None  # type: ignore[method-assign]  # dies before asking
+    rent(stage)
+    assert len(stage.store.listing(HIRE_PREFIX)[0]) == 1
+    assert not stage.cloud.requests
+    stage.new_leader(6)
+    for hire in list(stage.leader._pending_hires.values()):
+        stage.leader._hire(hire)
+    rent(stage)  # what is booting counts
+    assert len(stage.cloud.requests) == 1
+    stage.write()
+    assert stage.store.listing(HIRE_PREFIX)[0] == []
+    assert len(stage.store.listing(MACHINE_PREFIX)[0]) == 1
+
+
+def test_names_of_requests_differ_between_terms(stage: Stage) -> None:
+    stage.accept(pieces=8)
+    rent(stage)
+    stage.new_leader(6)
+    stage.accept("run-2", pieces=50)
+    rent(stage)
+    names = [hire.hire for hire in stage.cloud.requests]
+    assert len(names) == len(set(names)) >= 2
+
+
+def test_an_unanswered_request_is_repeated_not_renewed(stage: Stage) -> None:
+    stage.accept(pieces=8)
+
+    def no_answer(_hire: Any) -> Any:
+        raise CloudDown("timeout")
+
+    real, stage.cloud.rent = stage.cloud.rent, no_answer  # type: ignore[assignment,method-assign]
+    with pytest.raises(CloudDown):
+        rent(stage)
+    stage.cloud.rent = real  # type: ignore[method-assign]
+    [pending] = stage.leader._pending_hires.values()
+    stage.leader._hire(pending)
+    assert [hire.hire for hire in stage.cloud.requests] == [pending.hire]
+
+
+def test_nothing_is_rented_without_the_lease(stage: Stage) -> None:
+    stage.accept(pieces=8)
+    rent_wish = stage.leader._pending_hires
+    stage.place()
+    stage.later(3.1, renewed=False)
+    stage.leader._rent()
+    assert not stage.cloud.requests
+    assert len(rent_wish) == 1  # recorded, to be asked for once the lease is confirmed
+
+
+def test_a_failed_release_leaves_the_machine_in_use(stage: Stage) -> None:
+    """Found on a quiet day: refused for the cloud's rate, machines were left out for good."""
+    worker = stage.worker()
+    stage.ready(worker)
+    machine = stage.leader.picture.machines[MachineId(worker.name)]
+
+    def refused(_machines: Any) -> None:
+        raise CloudDown("429")
+
+    stage.cloud.release = refused  # type: ignore[assignment,method-assign]
+    with pytest.raises(CloudDown):
+        stage.leader._release([(machine, "idle")])
+    assert machine.usable()
+
+
+@pytest.mark.parametrize(("machines", "silent", "given_up"), [(9, 2, 2), (9, 6, 0)])
+def test_silent_machines_are_released_unless_they_are_many(
+    stage: Stage, machines: int, silent: int, given_up: int
+) -> None:
+    """Many silent at once may mean that the fault is here: nothing is released in haste."""
+    workers = [stage.worker(f"i-{n:06d}") for n in range(machines)]
+    stage.ready(*workers)
+    stage.later(policy().silence_s + 1.0)
+    for worker in workers[silent:]:
+        stage.exchange(worker)
+    assert len(stage.leader._to_give_up(stage.clock())) == given_up
+    stage.later(settings().params.workers.lease_s)
+    for worker in workers[silent:]:
+        stage.exchange(worker)
+    stage.leader.picture.expire(stage.clock())
+    assert len(stage.leader._to_give_up(stage.clock())) == silent
+
+
+def test_a_machine_that_fails_several_jobs_is_set_aside(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    for n in (1, 2):
+        stage.accept(f"run-{n}", pieces=1)
+    stage.place()
+    stage.exchange(worker)
+    stage.exchange(worker)
+    worker.finish("error")
+    stage.exchange(worker)
+    assert stage.leader.picture.machines[MachineId(worker.name)].quarantined
+
+
+def test_a_job_that_fails_everywhere_backs_off(stage: Stage) -> None:
+    workers = [stage.worker(f"i-{n:06d}") for n in range(3)]
+    stage.ready(*workers)
+    job = stage.accept(pieces=24)
+    stage.place()
+    for worker in workers * 2:
+        stage.exchange(worker)
+    for worker in workers:
+        worker.finish("error")
+        stage.exchange(worker)
+    found = stage.leader.book.get(job)
+    assert found is not None
+    first = found.backoff_s
+    assert found.backoff_until > stage.clock() and first >= 2.0
+    stage.place()
+    assert not any(stage.holds(worker.name) for worker in workers)
+    assert not any(m.quarantined for m in stage.leader.picture.machines.values())
+
+
+# -- election -----------------------------------------------------------------------------------
+
+
+def test_one_of_two_candidates_wins(stage: Stage) -> None:
+    store: Any = stage.store
+    view = read_view(store)
+    first = campaign(store, view, NodeName("n-0"), "b0", 3.0, 15.0)
+    second = campaign(store, view, NodeName("n-1"), "b1", 3.0, 15.0)
+    assert first is not None and second is None
+    assert first.term == 6
+    again = read_view(store)
+    assert again.holder is not None and again.holder.node == "n-0"
+    stage.store.expire(first.tenancy)
+    third = campaign(store, read_view(store), NodeName("n-1"), "b1", 3.0, 15.0)
+    assert third is not None and third.term == 7
+
+
+def test_machine_records_carry_what_a_successor_needs(stage: Stage) -> None:
+    worker = stage.worker(loaner=True, site="b")
+    stage.ready(worker)
+    entry = stage.store.get(MACHINE_PREFIX + worker.name)
+    assert entry is not None
+    record = msgspec.json.decode(entry.data, type=MachineRecord)
+    assert record == MachineRecord("c32", "b", True, worker.report().addr)
--- /dev/null
+++ b/tests/test_pure.py
@@ -0,0 +1,624 @@
+"""Tables for the parts that take the time as an argument."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from standins import CPU, GPU, RAW_SETTINGS, job, policy, run, settings
+
+from ryewing import placement, queueing
+from ryewing.budget import Budget
+from ryewing.fleet import Shelf, options_for, to_return, wishes
+from ryewing.jobs import Book, Job, JobRecord, impossible
+from ryewing.leadership import Authority, Holder, View, may_campaign
+from ryewing.picture import RUNNING, Machine, Picture
+from ryewing.policy import BadPolicy, load
+from ryewing.settings import BadSettings, Settings, Team
+from ryewing.settings import load as load_settings
+from ryewing.stops import RESEND_S, Stops
+from ryewing.units import (
+    Attempt,
+    Epoch,
+    JobId,
+    MachineId,
+    NodeName,
+    Stamp,
+    Steady,
+    TaskId,
+    Term,
+    WallTime,
+    Zone,
+    attempt_of,
+    is_job_id,
+    parse_task,
+)
+from ryewing.wire import Flavour, Malformed, read_run
+
+T0 = Steady(1000.0)
+
+
+# -- units and wire -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("text", "good"),
+    [
+        ("run-000412", True),
+        ("run-1", True),
+        ("run-", False),
+        ("run-12x", False),
+        ("job-12", False),
+        ("run-1/2", False),
+        ("", False),
+        (None, False),
+        (7, False),
+    ],
+)
+def test_job_ids(text: object, good: bool) -> None:
+    assert is_job_id(text) is good
+
+
+def test_task_names_and_attempts() -> None:
+    assert parse_task("run-000412/3") == TaskId(JobId("run-000412"), 3)
+    assert [parse_task(bad) for bad in ("run-1", "run-1/", "run-1/-2", "x/1")] == [None] * 4
+    # No two terms give out the same attempt, whatever their counters.
+    assert attempt_of(Term(2), 1) > attempt_of(Term(1), 2**24 - 1)
+
+
+GOOD = msgspec.to_builtins(run())
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("shape", "pile"),
+        ("rank", "vip"),
+        ("pieces", 0),
+        ("pieces", 100_001),
+        ("pieces", "4"),
+        ("pieces", 1.5),
+        ("vcpus", -1.0),
+        ("vcpus", None),
+        ("cards", "two"),
+        ("mem_gb", True),
+        ("owner", ""),
+        ("flavours", "c32"),
+        ("flavours", [1]),
+        ("loaner", "yes"),
+        ("due_s", -5.0),
+        ("ref", 12),
+    ],
+)
+def test_malformed_submissions(field: str, value: object) -> None:
+    with pytest.raises(Malformed, match=field):
+        read_run(msgspec.json.encode({**GOOD, field: value}))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{", b"[]", b"3", b"\xff", b'{"ref":"run-1"}', b'{"vcpus": NaN}', b"[" * 60000],
+)
+def test_bodies_that_are_no_submission(body: bytes) -> None:
+    with pytest.raises(Malformed):
+        read_run(body)
+
+
+def test_infinite_amounts_are_malformed() -> None:
+    body = msgspec.json.encode(GOOD).replace(b'"vcpus":4.0', b'"vcpus":1e999')
+    with pytest.raises(Malformed):
+        read_run(body)
+
+
+def test_unknown_fields_are_ignored() -> None:
+    assert read_run(msgspec.json.encode({**GOOD, "colour": "red"})).ref == "run-1"
+
+
+FLAVOURS = {"c32": CPU, "g4": GPU}
+TEAMS = {team.name: team for team in settings().params.teams}
+
+
+@pytest.mark.parametrize(
+    ("changes", "possible"),
+    [
+        ({}, True),
+        ({"owner": "nobody"}, False),
+        ({"vcpus": 33.0}, False),
+        ({"cards": 4.0, "vcpus": 24.0}, True),
+        ({"cards": 5.0}, False),
+        ({"cards": 1.0, "flavours": ["c32"]}, False),
+        ({"flavours": []}, False),
+        ({"site": "z"}, False),
+        ({"owner": "red", "cards": 4.0, "pieces": 99}, True),  # array: one task counts
+        ({"owner": "red", "cards": 4.0, "pieces": 3, "shape": "group"}, False),
+        ({"owner": "red", "cards": 4.0, "pieces": 2, "shape": "group"}, True),
+        ({"owner": "blue", "vcpus": 32.0, "pieces": 3, "shape": "group"}, False),
+    ],
+)
+def test_what_can_never_run(changes: dict[str, Any], possible: bool) -> None:
+    assert (impossible(run(**changes), FLAVOURS, TEAMS) is None) is possible
+
+
+# -- settings and policy ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        (("node",), 3, "node"),
+        (("api_addr",), "nowhere", "api_addr"),
+        (("members", 0, "address"), "1.2.3.4", "members[0].address"),
+        (("members", 1, "node"), "n-1", "members[1].node"),
+        (("params", "workers", "lease_s"), 0.0, "params.workers.lease_s"),
+        (("params", "workers", "cancel_s"), 10.0, "params.workers.cancel_s"),
+        (("params", "state", "txn_ops"), "many", "params.state.txn_ops"),
+        (("params", "teams", 0, "gpus"), -1.0, "params.teams[0].gpus"),
+        (("endpoints",), {}, "endpoints"),
+    ],
+)
+def test_bad_settings_name_the_field(
+    tmp_path: Any, path: tuple[Any, ...], value: object, named: str
+) -> None:
+    raw = msgspec.json.decode(msgspec.json.encode(RAW_SETTINGS))
+    place = raw
+    for step in path[:-1]:
+        place = place[step]
+    place[path[-1]] = value
+    file = tmp_path / "s.json"
+    file.write_bytes(msgspec.json.encode(raw))
+    with pytest.raises(BadSettings) as error:
+        load_settings(file)
+    assert named in str(error.value)
+
+
+def test_good_settings_with_unknown_fields(tmp_path: Any) -> None:
+    file = tmp_path / "s.json"
+    file.write_bytes(msgspec.json.encode({**RAW_SETTINGS, "new": {"x": 1}}))
+    assert load_settings(file) == msgspec.convert(RAW_SETTINGS, Settings)
+
+
+@pytest.mark.parametrize(
+    ("script", "why"),
+    [
+        ("return {", "expected"),
+        ("return {idle_return = 3}", "unknown name"),
+        ("return {idle_return_s = 'long'}", "must be a number"),
+        ("return {idle_return_s = -1}", "above 0"),
+        ("return {sample = 1.5}", "whole number"),
+        ("return 7", "must return a table"),
+        ("while true do end", "too long"),
+        ("while true do pcall(function() while true do end end) end", "nil value"),
+        ("return {hold_s = 1000}", "hold_s"),
+        ("return os.execute('true')", "nil value"),
+        ("return {x = string.rep('x', 1e9)}", "nil value"),
+    ],
+)
+def test_bad_lua_is_refused_with_file_and_reason(tmp_path: Any, script: str, why: str) -> None:
+    file = tmp_path / "p.lua"
+    file.write_text(script)
+    with pytest.raises(BadPolicy, match=why) as error:
+        load(file, settings())
+    assert "p.lua" in str(error.value)
+
+
+def test_good_lua_changes_only_what_it_names(tmp_path: Any) -> None:
+    file = tmp_path / "p.lua"
+    file.write_text("return {idle_return_s = math.max(90, 30), sample = 16}")
+    changed = load(file, settings())
+    assert (changed.idle_return_s, changed.sample) == (90.0, 16)
+    assert (
+        msgspec.structs.replace(
+            changed, idle_return_s=policy().idle_return_s, sample=policy().sample
+        )
+        == policy()
+    )
+
+
+# -- leadership ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("after_s", "start", "answer"),
+    [
+        (0.0, True, True),
+        (2.9, True, True),
+        (3.0, False, True),  # the lease may have ended: no starts, no renting
+        (14.9, False, True),  # state outage: workers are kept alive
+        (15.0, False, False),  # the hold is over: 421 or 503
+        (500.0, False, False),  # a process that was paused past everything
+    ],
+)
+def test_authority_by_time_since_renewal(after_s: float, start: bool, answer: bool) -> None:
+    authority = Authority(3.0, 15.0)
+    assert not authority.may_start(T0) and not authority.may_answer(T0)
+    authority.confirm(T0)
+    now = Steady(T0 + after_s)
+    assert (authority.may_start(now), authority.may_answer(now)) == (start, answer)
+
+
+def test_authority_counts_from_the_latest_send() -> None:
+    authority = Authority(3.0, 15.0)
+    authority.confirm(Steady(T0 + 2.0))
+    authority.confirm(T0)  # an older renewal's answer that came later
+    assert authority.may_start(Steady(T0 + 4.5))
+
+
+def test_hold_leaves_a_cancel_its_time() -> None:
+    workers = settings().params.workers
+    assert policy().hold_s + workers.lease_s < workers.cancel_s - 1.0
+
+
+@pytest.mark.parametrize(
+    ("holder", "expected"),
+    [
+        (None, True),  # the lease has ended
+        (Holder("n-1", "b1", 4), False),  # another node: wait for its lease
+        (Holder("n-0", "me", 4), False),  # this very process
+        (Holder("n-0", "earlier", 4), True),  # an earlier process of this node is dead
+    ],
+)
+def test_who_may_campaign(holder: Holder | None, expected: bool) -> None:
+    view = View(holder, Stamp(3), Term(4), Stamp(3), Epoch(9))
+    assert may_campaign(view, NodeName("n-0"), "me") is expected
+
+
+# -- jobs ---------------------------------------------------------------------------------------
+
+
+def test_take_never_gives_a_task_twice() -> None:
+    one = job(pieces=6)
+    first = one.take(2)
+    for index in first:
+        one.live[index] = MachineId("i-1")
+    one.finish(4)
+    del one.live[first[0]]
+    one.hand_back(first[0])
+    one.hand_back(first[0])
+    rest = one.take(10)
+    assert len(rest) == len(set(rest))
+    assert sorted([*rest, first[1], 4]) == list(range(6))
+
+
+def test_finished_tasks_survive_in_chunks() -> None:
+    big = job(pieces=100_000)
+    for index in (0, 8191, 8192, 99_999):
+        assert big.finish(index)
+    assert not big.finish(0)
+    chunks = big.dirty_chunks()
+    assert chunks == [0, 1, 12]
+    again = job(pieces=100_000)
+    for chunk in chunks:
+        text = big.chunk_text(chunk)
+        assert len(text) < 2048
+        again.load_chunk(chunk, text)
+    assert again.done_count == 4 and not again.unwritten
+    assert again.is_done(99_999) and not again.is_done(1)
+
+
+def test_guess_correction_is_bounded() -> None:
+    book = Book()
+    first = book.put(JobRecord(run("run-1", guess_s=10.0), 0.0), Stamp(1))
+    for _ in range(500):
+        book.took(first, 10_000.0)
+    later = book.put(JobRecord(run("run-2", guess_s=10.0), 0.0), Stamp(2))
+    assert 15.0 < later.estimate_s() <= 20.0
+
+
+# -- stops --------------------------------------------------------------------------------------
+
+
+def test_tombstones_are_resent_until_gone() -> None:
+    stops = Stops()
+    machine, task, attempt = MachineId("i-1"), TaskId(JobId("run-1"), 0), Attempt(7)
+    assert stops.add(machine, task, attempt, 5.0, "drain", T0)
+    assert not stops.add(machine, task, attempt, 9.0, "drain", T0)  # mercy only shrinks
+    assert list(stops.due(T0)) == [machine]
+    assert [order.mercy_s for order in stops.orders(machine, T0)] == [5.0]
+    assert list(stops.due(T0)) == []
+    assert list(stops.due(Steady(T0 + RESEND_S))) == [machine]
+    assert stops.add(machine, task, attempt, 0.0, "cancelled", T0)
+    assert list(stops.due(T0)) == [machine]
+    stops.gone(machine, task, Attempt(8))  # another attempt
+    assert stops.has(machine, task, attempt)
+    stops.gone(machine, task, attempt)
+    assert not stops.orders(machine, T0)
+
+
+# -- placement ----------------------------------------------------------------------------------
+
+
+class World:
+    """Machines and jobs for placement cases."""
+
+    def __init__(self) -> None:
+        self.book = Book()
+        self.stops = Stops()
+        self.picture = Picture(Term(5), 20.0, self.book, self.stops)
+
+    def machine(
+        self, name: str, flavour: Flavour = CPU, site: str = "a", loaner: bool = False
+    ) -> Machine:
+        machine = self.picture.add(MachineId(name), flavour, Zone(site), loaner, T0)
+        machine.handshaken = machine.recorded = True
+        return machine
+
+    def job(self, ref: str, **changes: Any) -> Job:
+        return self.book.put(JobRecord(run(ref, **changes), 0.0), Stamp(1))
+
+    def put(self, one: Job, machine: Machine, count: int) -> None:
+        for index in one.take(count):
+            self.picture.hold(machine, TaskId(one.id, index), Attempt(1), RUNNING, T0)
+
+    def plan(
+        self,
+        *jobs: Job,
+        now: float = 100.0,
+        sample: int = 64,
+        unseen: tuple[float, float] = (0.0, 0.0),
+        reserve: bool = True,
+    ) -> placement.Plan:
+        per_card = placement.NO_CARDS
+        for one in self.book if reserve else ():
+            per_card = per_card.widened(one)
+        quota = placement.Quota(TEAMS, self.picture.team_vcpus, self.picture.team_cards, *unseen)
+        rooms = [placement.Room(m) for m in self.picture.machines.values() if m.usable()]
+        return placement.Pass(
+            rooms, quota, Steady(T0 + now), random.Random(1), sample, per_card
+        ).run(jobs)
+
+
+def spread_of(plan: placement.Plan) -> dict[str, int]:
+    return {machine.id: n for batch in plan.batches for machine, n in batch.parts}
+
+
+def test_fullest_fitting_machine_first() -> None:
+    world = World()
+    world.machine("i-1")
+    world.put(world.job("run-9", pieces=5), world.machine("i-2"), 5)
+    assert spread_of(world.plan(world.job("run-1", pieces=4))) == {"i-2": 3, "i-1": 1}
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({"pieces": 16}, 16),  # 8 a machine
+        ({"pieces": 17, "shape": "group"}, 0),  # whole or not at all
+        ({"pieces": 16, "shape": "group"}, 16),
+        ({"pieces": 16, "shape": "group", "together": True}, 0),  # 8 a zone
+        ({"pieces": 8, "shape": "group", "together": True}, 8),
+        ({"pieces": 16, "together": True}, 8),
+        ({"pieces": 9, "spread": True}, 9),  # 5 and 4
+        ({"pieces": 16, "spread": True, "site": "a"}, 8),
+        ({"pieces": 16, "site": "b"}, 8),
+        ({"pieces": 16, "flavours": ["g4"]}, 0),
+        ({"pieces": 20, "owner": "blue"}, 16),  # limit of 64 processors
+    ],
+)
+def test_placement_keeps_the_jobs_wishes(changes: dict[str, Any], expected: int) -> None:
+    world = World()
+    world.machine("i-1", site="a")
+    world.machine("i-2", site="b")
+    world.machine("i-3", site="c", loaner=True)  # nobody here may use spot machines
+    placed = spread_of(world.plan(world.job("run-1", **changes)))
+    assert sum(placed.values()) == expected
+    assert "i-3" not in placed
+
+
+def test_spread_counts_tasks_that_are_there() -> None:
+    world = World()
+    a, b = world.machine("i-1", site="a"), world.machine("i-2", site="b")
+    one = world.job("run-1", pieces=8, spread=True)
+    world.put(one, a, 4)
+    assert spread_of(world.plan(one)) == {b.id: 4}
+
+
+def test_together_stays_where_an_old_attempt_still_is() -> None:
+    world = World()
+    a = world.machine("i-1", site="a")
+    world.machine("i-2", site="b")
+    one = world.job("run-1", pieces=12, together=True)
+    world.put(one, a, 8)  # zone a is full
+    assert spread_of(world.plan(one)) == {}
+
+
+@pytest.mark.parametrize(("unseen", "expected"), [((0.0, 0.0), 8), ((0.0, 4.0), 4)])
+def test_unheard_room_counts_against_limits(unseen: tuple[float, float], expected: int) -> None:
+    world = World()
+    for n in range(3):
+        world.machine(f"i-{n}", GPU)
+    placed = spread_of(world.plan(world.job("run-1", pieces=12, cards=1.0), unseen=unseen))
+    assert sum(placed.values()) == expected
+
+
+def test_tasks_without_cards_leave_what_cards_need() -> None:
+    """Found on a quiet day: cards lay idle because others held their processors."""
+    world = World()
+    world.machine("i-1", GPU)  # 24 processors, 4 cards
+    world.job("run-9", cards=1.0, vcpus=5.0)
+    assert spread_of(world.plan(world.job("run-1", pieces=9, vcpus=2.0))) == {"i-1": 2}
+    urgent = world.job("run-2", rank="urgent", vcpus=15.0, pieces=1)
+    assert spread_of(world.plan(urgent)) == {"i-1": 1}  # more important work may
+
+
+def test_preemption_tries_every_zone() -> None:
+    """Found on a rough day: bound to the first zone looked at, an urgent job waited for ever."""
+    world = World()
+    idle = world.job("run-9", rank="idle", pieces=96, vcpus=1.0, mem_gb=1.0)
+    for n, site in enumerate("abc"):
+        world.put(idle, world.machine(f"i-{n}", site=site), 32)
+    jobs = [
+        world.job(f"run-{n}", rank="urgent", pieces=1, vcpus=30.0, shape="group", together=True)
+        for n in range(3)
+    ]
+    plan = world.plan(*jobs)
+    assert not plan.short
+    assert len(plan.stops) == 90
+
+
+@pytest.mark.parametrize(
+    ("rank", "owner", "guaranteed", "victim_rank", "victim_guaranteed", "expected"),
+    [
+        ("urgent", "red", False, "standard", False, True),
+        ("standard", "red", False, "standard", False, False),
+        ("idle", "red", False, "standard", False, False),
+        ("standard", "red", True, "standard", False, True),  # a borrower gives way
+        ("standard", "blue", True, "standard", False, False),  # of its own team: no
+        ("urgent", "red", False, "idle", True, False),  # guaranteed work gives way to nobody
+    ],
+)
+def test_who_may_be_stopped_for_whom(
+    rank: str,
+    owner: str,
+    guaranteed: bool,
+    victim_rank: str,
+    victim_guaranteed: bool,
+    expected: bool,
+) -> None:
+    world = World()
+    machine = world.machine("i-1")
+    victim = world.job("run-9", rank=victim_rank, owner="blue", pieces=1)
+    victim.guaranteed = victim_guaranteed
+    world.put(victim, machine, 1)
+    one = world.job("run-1", rank=rank, owner=owner)
+    one.guaranteed = guaranteed
+    held = next(iter(machine.holds.values()))
+    assert placement.may_preempt(one, held) is expected
+
+
+def test_room_being_freed_is_claimed_once() -> None:
+    world = World()
+    machine = world.machine("i-1")
+    idle = world.job("run-9", rank="idle", pieces=8)
+    world.put(idle, machine, 8)
+    plan = world.plan(world.job("run-1", rank="urgent", pieces=2), world.job("run-2", pieces=8))
+    assert len(plan.stops) == 8  # two for the first job, the rest for the second
+    assert [(one.id, n) for one, n in plan.short] == [("run-2", 2)]
+
+
+def test_work_per_pass_is_bounded_by_the_sample() -> None:
+    world = World()
+    for n in range(300):
+        world.machine(f"i-{n}")
+    plan = world.plan(world.job("run-1", pieces=100_000, owner="red"), sample=16)
+    assert len(spread_of(plan)) == 16
+
+
+def test_arrays_wait_a_little_for_the_image_and_gangs_do_not() -> None:
+    world = World()
+    warm, cold = world.machine("i-1"), world.machine("i-2")
+    warm.note_image("img-1", 1.0)
+    world.put(world.job("run-9", pieces=8, bundle="other"), warm, 8)
+    array = world.job("run-1", pieces=1, image_gb=1.0)
+    assert spread_of(world.plan(array)) == {}
+    assert spread_of(world.plan(array, now=102.6)) == {cold.id: 1}  # half of the 5 s fetch
+    assert spread_of(world.plan(world.job("run-2", pieces=1, shape="group", image_gb=1.0))) == {
+        cold.id: 1
+    }
+
+
+def test_guarantee_counts_earlier_unfinished_jobs() -> None:
+    jobs = [
+        job("run-1", at=1.0, cards=1.0, pieces=3),
+        job("run-2", at=2.0, cards=1.0, pieces=3),
+        job("run-3", at=3.0, cards=1.0, pieces=1),
+        job("run-4", at=3.0, cards=0.0, pieces=1),
+        job("run-5", at=9.0, cards=1.0, pieces=4, owner="blue"),
+    ]
+    placement.mark_guarantees(jobs, TEAMS)
+    assert [one.guaranteed for one in jobs] == [True, False, False, False, True]
+
+
+# -- queueing -----------------------------------------------------------------------------------
+
+
+def order_of(jobs: list[Job], total: float, now: float) -> list[str]:
+    supply = queueing.Supply(total, 0.0)
+    ordered = queueing.order(jobs, settings().params.objectives, supply, supply, WallTime(now))
+    return [one.id for one in ordered]
+
+
+def test_what_can_be_on_time_goes_before_what_cannot() -> None:
+    jobs = [
+        job("run-1", at=0.0, pieces=100, vcpus=1.0),  # too large to be on time with the others
+        job("run-2", at=1.0, pieces=4, vcpus=1.0),
+        job("run-3", at=-40.0, pieces=4, vcpus=1.0),  # late for 60 s, not for 120 s
+    ]
+    assert order_of(jobs, 16.0, 5.0) == ["run-2", "run-3", "run-1"]
+
+
+def test_far_overdue_jobs_come_first() -> None:
+    jobs = [job("run-1", at=0.0, pieces=1000), job("run-2", at=390.0)]
+    assert order_of(jobs, 16.0, 300.0)[0] == "run-2"
+    assert order_of(jobs, 16.0, 400.0)[0] == "run-1"
+
+
+def test_rank_and_guarantee_go_before_deadlines() -> None:
+    jobs = [job("run-1", rank="idle"), job("run-2", rank="urgent"), job("run-3", rank="idle")]
+    jobs[2].guaranteed = True
+    assert order_of(jobs, 100.0, 1.0) == ["run-3", "run-2", "run-1"]
+
+
+# -- the fleet ----------------------------------------------------------------------------------
+
+
+def test_renting_counts_what_is_booting() -> None:
+    world = World()
+    booting = [world.machine("i-1")]
+    short = [(job(pieces=8), 8)]
+    assert wishes(short, booting, FLAVOURS, Shelf(), policy(), T0) == []
+    [wish] = wishes(short, [], FLAVOURS, Shelf(), policy(), T0)
+    assert wish.count == 1 and wish.options[0][0] == "c32"
+
+
+def test_spot_machines_only_for_jobs_that_may() -> None:
+    assert all(not o[2] for o in options_for(job(), FLAVOURS, Shelf(), T0))
+    assert options_for(job(loaner=True), FLAVOURS, Shelf(), T0)[0][2]
+
+
+def test_no_capacity_turns_to_the_next_option_and_back() -> None:
+    shelf, one = Shelf(), job()
+    first = options_for(one, FLAVOURS, shelf, T0)[0]
+    shelf.refused(first, T0)
+    assert options_for(one, FLAVOURS, shelf, T0)[0] != first
+    assert options_for(one, FLAVOURS, shelf, Steady(T0 + 21.0))[0] == first
+
+
+@pytest.mark.parametrize(
+    ("idle_s", "waiting", "holds", "returned"),
+    [
+        (10.0, False, False, False),
+        (50.0, False, False, True),
+        (50.0, True, False, False),
+        (50.0, False, True, False),
+    ],
+)
+def test_idle_machines_are_returned(
+    idle_s: float, waiting: bool, holds: bool, returned: bool
+) -> None:
+    world = World()
+    machine = world.machine("i-1")
+    machine.heard_at = T0
+    if holds:
+        world.put(world.job("run-9"), machine, 1)
+    short = [(job(), 1)] if waiting else []
+    chosen = to_return([machine], short, policy(), Steady(T0 + idle_s))
+    assert (chosen == [machine]) is returned
+
+
+# -- budgets ------------------------------------------------------------------------------------
+
+
+def test_budget_refills_and_tells_the_wait() -> None:
+    now = [T0]
+    budget = Budget(10.0, 5.0, lambda: now[0])
+    assert [budget.take() for _ in range(6)] == [True] * 5 + [False]
+    assert budget.wait_s(2.0) == pytest.approx(0.2)
+    now[0] = Steady(T0 + 0.2)
+    assert budget.take(2.0) and not budget.take()
+
+
+def test_team_without_limit_has_no_limit() -> None:
+    quota = placement.Quota({"t": Team("t")}, {}, {})
+    assert quota.headroom(run(owner="t"), 1000) == 1000
