Let no booting machine hold up a take-over; ask silent machines directly

Cause: a new leader waited the full gathering time for machines that were recorded when rented but had never reported, and so can't hold tasks; and a dead machine kept its tasks for 12 s. Ruled out: slow election (3 s at most).

--- a/src/ryewing/fleet.py
+++ b/src/ryewing/fleet.py
@@ -165,7 +165,10 @@
 def to_return(
     machines: Iterable[Machine], waiting: Sequence[tuple[Job, int]], policy: Policy, now: Steady
 ) -> list[Machine]:
-    """Choose idle machines that nothing waiting could use."""
+    """Choose idle machines that nothing waiting could use.
+
+    A machine with cards isn't kept for work without cards: that is dear room.
+    """
     chosen = []
     for machine in machines:
         if machine.holds or machine.leaving or machine.heard_at is None:
@@ -177,6 +180,7 @@
             and (job.run.site is None or job.run.site == machine.site)
             and (job.run.loaner or not machine.loaner)
             and fits_flavour(job.run, machine.flavour)
+            and (job.run.cards > 0 or not machine.flavour.cards)
             for job, _count in waiting
         ):
             continue
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -70,6 +70,8 @@
 LIST_EVERY_S = 4.0
 FLAVOURS_EVERY_S = 60.0
 TELL_EVERY_S = 10.0
+PROBE_AFTER = 1.6
+"""Report intervals after which a silent machine is asked directly."""
 
 
 class MachineRecord(msgspec.Struct, omit_defaults=True):
@@ -79,6 +81,8 @@
     site: str
     loaner: bool = False
     addr: str = ""
+    heard: bool = False
+    """Written before the machine's first task: without it, it can't have any."""
 
 
 class _Write:
@@ -270,9 +274,10 @@
             machine = self.picture.add(
                 name_, self._flavour(kept.flavour), Zone(kept.site), kept.loaner, now
             )
-            machine.recorded = True
             machine.addr = kept.addr
-            machine.may_hold_until = until
+            if kept.heard:
+                machine.recorded = True
+                machine.may_hold_until = until
         hires, _ = self.store.listing(HIRE_PREFIX)
         for entry in hires:
             hire = msgspec.json.decode(entry.data, type=Hire)
@@ -719,10 +724,12 @@
             if machine is None:
                 self._to_record.discard(name)
                 continue
-            record = MachineRecord(machine.flavour.sku, machine.site, machine.loaner, machine.addr)
-            writes.append(
-                _Write([Put(MACHINE_PREFIX + name, record)], _bind(self._recorded, machine))
+            heard = machine.heard_at is not None
+            record = MachineRecord(
+                machine.flavour.sku, machine.site, machine.loaner, machine.addr, heard
             )
+            put = Put(MACHINE_PREFIX + name, record)
+            writes.append(_Write([put], _bind(self._recorded, machine, heard)))
         finals: list[_Write] = []
         partial: list[tuple[bool, float, _Write]] = []
         for job_id in list(self.book.dirty):
@@ -806,9 +813,10 @@
             status = msgspec.json.decode(final.data, type=dict[str, str])["status"]
             self._finalised(job, status)
 
-    def _recorded(self, machine: Machine) -> None:
-        machine.recorded = True
-        self._to_record.discard(machine.id)
+    def _recorded(self, machine: Machine, heard: bool) -> None:
+        if heard or machine.heard_at is None:
+            self._to_record.discard(machine.id)
+        machine.recorded = machine.recorded or heard
         self._place.set()
 
     def _chunk_written(self, job: Job, chunk: int, indices: set[int]) -> None:
@@ -847,9 +855,17 @@
                     self.stops.machine_gone(name)
                 else:
                     self._send_soon(stopping)
-            if not self._gathered:
-                for machine in self.picture.unheard():
-                    self._send_soon(machine)
+            self._probe(now)
+
+    def _probe(self, now: Steady) -> None:
+        """Ask machines directly whose report is late, and those not heard in this term."""
+        late = PROBE_AFTER * self.settings.params.workers.report_s
+        for machine in self.picture.machines.values():
+            if machine.may_hold_until is None:
+                continue
+            since = machine.heard_at if machine.heard_at is not None else self._began
+            if not machine.handshaken or now - since > late:
+                self._send_soon(machine)
 
     def _log_state(self, now: Steady) -> None:
         """Tell a reader of the log, every ten seconds, what there is and what waits."""
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -578,6 +578,16 @@
     assert len(rent_wish) == 1  # recorded, to be asked for once the lease is confirmed
 
 
+def test_a_booting_machine_keeps_a_successor_from_nothing(stage: Stage) -> None:
+    """Found on a rolling restart: each new leader waited for machines that had never reported."""
+    stage.accept(pieces=8)
+    rent(stage)
+    stage.write()
+    stage.new_leader(6)
+    assert len(stage.leader.picture.machines) == 1
+    assert stage.leader._ready_to_place()
+
+
 def test_a_failed_release_leaves_the_machine_in_use(stage: Stage) -> None:
     """Found on a quiet day: refused for the cloud's rate, machines were left out for good."""
     worker = stage.worker()
@@ -666,4 +676,4 @@
     entry = stage.store.get(MACHINE_PREFIX + worker.name)
     assert entry is not None
     record = msgspec.json.decode(entry.data, type=MachineRecord)
-    assert record == MachineRecord("c32", "b", True, worker.report().addr)
+    assert record == MachineRecord("c32", "b", True, worker.report().addr, True)
