--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -35,7 +35,7 @@
     live_key,
 )
 from .leadership import Mandate
-from .picture import PLANNED, RUNNING, SAVING, SENT, Hold, Machine, Picture
+from .picture import PLANNED, RUNNING, SAVING, SENT, WARM, Hold, Machine, Picture
 from .policy import Policy
 from .settings import Settings, parse_address
 from .stops import Stops
@@ -681,6 +681,7 @@
                 gang_attempt = Attempt(job.gang_attempt)
             else:
                 gang_attempt = self._next_attempt()
+        cold = sum(n for machine, n in batch.parts if machine.warmth(job.run.bundle) != WARM)
         at = 0
         for machine, n in batch.parts:
             for index in indices[at : at + n]:
@@ -690,11 +691,14 @@
         job.wanting_since = None
         self.book.touch(job)
         log.info(
-            "event=placed job=%s tasks=%d machines=%s short=%d",
+            "event=placed job=%s tasks=%d machines=%s cold=%d short=%d guaranteed=%s age_s=%.1f",
             job.id,
             len(indices),
             ",".join(f"{machine.id}:{n}" for machine, n in batch.parts),
+            cold,
             job.shortfall,
+            job.guaranteed,
+            wall_now() - job.at,
         )
 
     # -- writing ----------------------------------------------------------------------------
