--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 from .jobs import Job
-from .picture import COLD, SAVING, Hold, Machine
+from .picture import COLD, SAVING, WARM, Hold, Machine
 from .settings import Team
 from .units import Steady, TeamName, Zone
 from .wire import RANKS, Run
@@ -23,6 +23,8 @@
 COLD_DELAY = 0.5
 """How long a job waits for a machine with its image, as a part of the fetch time."""
 COLD_DELAY_MAX_S = 20.0
+SEED_S = 10.0
+"""A fetch longer than this is begun by one task only; the others come when it is done."""
 PREEMPT_MAX = 64
 """Tasks stopped for one job in one pass: bounds the work of a pass."""
 
@@ -68,6 +70,7 @@
         "dying_vcpus",
         "machine",
         "mem",
+        "seeded",
         "stopping",
         "vcpus",
     )
@@ -78,6 +81,8 @@
         self.cards = machine.cards
         self.mem = machine.mem_gb
         self.stopping: set[Hold] = set(stopping)
+        self.seeded: set[str] = set()
+        """Images for which this pass has placed a task here."""
         self.dying_vcpus = self.dying_cards = self.dying_mem = 0.0
         for held in stopping:
             self._add_dying(held)
@@ -319,6 +324,10 @@
             left -= self._place_in(job, left, plain, whole)
         if left > 0:
             left -= self._place_in(job, left, rooms, whole)
+        for room in rooms:
+            # Room that waits for its image is as good as placed: nothing is to be rented for it.
+            if left > 0 and self._seed_limit(job, room) == 0:
+                left -= room.count(job.run, left, False, self._leave)
         if left > 0:
             self.plan.short.append((job, left))
 
@@ -355,10 +364,27 @@
             job.wanting_since = self._now
         return self._now - job.wanting_since >= min(COLD_DELAY * fetch_s, COLD_DELAY_MAX_S)
 
+    def _seed_limit(self, job: Job, room: Room) -> int:
+        """Bound the tasks that wait for one long fetch: one is enough to make the machine warm.
+
+        The rest of the room serves warm jobs meanwhile. Gangs need their tasks at once.
+        """
+        run = job.run
+        warmth = room.machine.warmth(run.bundle)
+        if job.gang or warmth == WARM:
+            return run.pieces
+        fetch_s = run.image_gb / max(room.machine.flavour.fetch_gb_per_s, 1e-3)
+        if fetch_s <= SEED_S:
+            return run.pieces
+        if warmth == COLD and run.bundle not in room.seeded:
+            return 1
+        return 0
+
     def _commit(self, job: Job, parts: list[tuple[Room, int]]) -> None:
         for room, count in parts:
             room.claim(job.run, count)
             self._zones[room.machine.site] += count
+            room.seeded.add(job.run.bundle)
             self._quota.use(job.run, count)
 
     def _zones_for(self, job: Job, rooms: Iterable[Room]) -> list[Zone | None]:
@@ -402,7 +428,7 @@
                 site = room.machine.site
                 if only is not None and site != only:
                     continue
-                most = left
+                most = min(left, self._seed_limit(job, room))
                 if run.spread:
                     most = min(most, job.zone_max - self._zones[site] - by_zone.get(site, 0))
                 count = room.count(run, most, with_dying, self._leave) if most > 0 else 0
@@ -475,7 +501,7 @@
             site = room.machine.site
             if only is not None and site != only:
                 continue
-            most = left
+            most = min(left, self._seed_limit(job, room))
             if run.spread:
                 most = min(most, job.zone_max - self._zones[site] - sites.get(site, 0))
             chosen, count = self._free_up(room, run, victims, most, self._leave)
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -531,6 +531,17 @@
     }
 
 
+def test_one_task_seeds_a_long_fetch_and_nothing_is_rented_for_the_rest() -> None:
+    """Found on quiet days: whole machines waited for a fetch of a minute, cards and all."""
+    world = World()
+    world.machine("i-1")
+    array = world.job("run-1", pieces=8, image_gb=5.0)  # 25 s at 0.2 GB/s
+    plan = world.plan(array)
+    assert spread_of(plan) == {"i-1": 1}
+    assert not plan.short
+    assert spread_of(world.plan(world.job("run-2", pieces=8, image_gb=1.0))) == {"i-1": 8}
+
+
 def test_guarantee_counts_earlier_unfinished_jobs() -> None:
     jobs = [
         job("run-1", at=1.0, cards=1.0, pieces=3),
