Resign when cut from the workers; never release many machines that fall silent in turn

A node alone in losing the store now asks through a peer first; a cancel whose leader can't be asked is answered once the watch must have told it.

--- a/src/ryewing/api.py
+++ b/src/ryewing/api.py
@@ -28,7 +28,7 @@
     live_key,
 )
 from .store import Put, StoreDown, Throttled
-from .units import JobId, Stamp, Steady, is_job_id, steady_now, wall_now
+from .units import JobId, Stamp, Steady, WallTime, is_job_id, steady_now, wall_now
 from .wire import BODY_LIMIT, Malformed, RunStatus, read_object, read_report, read_run
 
 if TYPE_CHECKING:
@@ -218,9 +218,10 @@
                 return self._busy("the state service can't be reached")
         if result.ok:
             log.info(
-                "event=accepted job=%s class=%s tasks=%d site=%s image=%s/%gGB guess_s=%g",
+                "event=accepted job=%s class=%s owner=%s tasks=%d site=%s image=%s/%gGB guess_s=%g",
                 job,
                 record.run.jobclass,
+                record.run.owner,
                 record.run.pieces,
                 record.run.site or "any",
                 record.run.bundle,
@@ -290,13 +291,15 @@
                 record = msgspec.json.decode(entry.data, type=JobRecord)
                 if not record.cancelled:
                     record.cancelled = True
+                    record.cancelled_at = wall_now()
                     result = self._node.store.txn(
                         {live_key(job): Stamp(entry.stamp)}, [Put(live_key(job), record)]
                     )
                     if not result.ok:
                         continue
                     log.info("event=cancel-accepted job=%s", job)
-                if not self._node.tell_cancel(job):
+                written_at = record.cancelled_at
+                if not self._node.tell_cancel(job, WallTime(written_at) if written_at else None):
                     return self._busy("the cancel is written but the leader has not heard it")
             except StoreDown:
                 return self._busy("the state service can't be reached")
--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -36,6 +36,7 @@
     run: Run
     at: float
     cancelled: bool = False
+    cancelled_at: float | None = None
 
 
 class FinalRecord(msgspec.Struct):
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -15,7 +15,8 @@
 import gevent
 import msgspec
 from gevent.event import Event
-from gevent.pool import Pool
+from gevent.lock import BoundedSemaphore
+from gevent.pool import Group
 
 from . import fleet, placement, queueing
 from .budget import Budget
@@ -65,11 +66,18 @@
 FLAVOURS_KEY = "flavours"
 ORDERS_MAX = 500
 """Commands in one response: keeps its line within 64 KiB."""
+SENDS_AT_ONCE = 24
 PASS_GAP_S = 0.1
 WATCH_S = 8.0
 LIST_EVERY_S = 4.0
 FLAVOURS_EVERY_S = 60.0
 TELL_EVERY_S = 10.0
+CUT = "cut-from-workers"
+CUT_MACHINES = 4
+CUT_SHARE = 0.7
+"""A leader that hears fewer of its machines than the rest of this share resigns."""
+LATE_AFTER = 1.3
+"""Report intervals, a little more than the longest one, after which a report is late."""
 PROBE_AFTER = 1.6
 """Report intervals after which a silent machine is asked directly."""
 
@@ -138,7 +146,10 @@
         self._began = steady_now()
         self._epoch = Epoch(0)
         self._greenlets: list[gevent.Greenlet] = []
-        self._senders = Pool(24)
+        # Not a bounded pool: its spawn waits when it is full, and a decision under way must not
+        # be interrupted.
+        self._senders = Group()
+        self._send_slots = BoundedSemaphore(SENDS_AT_ONCE)
         self._sending: set[MachineId] = set()
         self._rng = random.Random()
         self._per_card = placement.NO_CARDS
@@ -514,6 +525,10 @@
             self._senders.spawn(self._send, machine)
 
     def _send(self, machine: Machine) -> None:
+        with self._send_slots:
+            self._send_now(machine)
+
+    def _send_now(self, machine: Machine) -> None:
         try:
             now = steady_now()
             if not self.authority.may_answer(now):
@@ -860,11 +875,29 @@
                 else:
                     self._send_soon(stopping)
             self._probe(now)
+            if self.settings.members and self._gathered and self.cut_from_workers(now):
+                # Another node may reach them; waiting for it costs every machine its tasks.
+                try:
+                    self.store.resign(self.mandate.tenancy)
+                except StoreDown:
+                    pass
+                self._lose(CUT)
+                return
+
+    def cut_from_workers(self, now: Steady) -> bool:
+        """Tell whether most machines fell silent at once, so that the fault is likely here."""
+        silent = known = 0
+        for machine in self.picture.machines.values():
+            if machine.heard_at is None or machine.may_hold_until is None:
+                continue
+            known += 1
+            silent += now - machine.heard_at > self.policy.silence_s
+        return known >= CUT_MACHINES and silent > CUT_SHARE * known
 
     def _probe(self, now: Steady) -> None:
         """Ask machines directly whose report is late, and those not heard in this term."""
         late = PROBE_AFTER * self.settings.params.workers.report_s
-        for machine in self.picture.machines.values():
+        for machine in list(self.picture.machines.values()):
             if machine.may_hold_until is None:
                 continue
             since = machine.heard_at if machine.heard_at is not None else self._began
@@ -942,7 +975,8 @@
         """
         silent: list[Machine] = []
         result: list[tuple[Machine, str]] = []
-        heard = 0
+        late = known = 0
+        late_s = LATE_AFTER * self.settings.params.workers.report_s
         for machine in self.picture.machines.values():
             since = machine.heard_at
             if since is None:
@@ -953,11 +987,13 @@
                     if now - machine.rented_at > max(patience, 60.0):
                         result.append((machine, "never-booted"))
                     continue
+            known += 1
+            late += now - since > late_s
             if now - since > self.policy.silence_s:
                 silent.append(machine)
-            else:
-                heard += 1
-        few = len(silent) <= max(2, (heard + len(silent)) // 3)
+        # Judged by those that are late by one report, not by those silent for long: when all
+        # fall silent, their last reports lie an interval apart.
+        few = late <= max(2, known // 3)
         for machine in silent:
             if few or machine.may_hold_until is None:
                 result.append((machine, "silent"))
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -10,7 +10,7 @@
 
 from .api import Api, ApiServer, Finals
 from .budget import Budget
-from .leader import FLAVOURS_KEY, Leader
+from .leader import CUT, FLAVOURS_KEY, Leader
 from .leadership import (
     HOLDER_KEY,
     PREFIX,
@@ -39,12 +39,16 @@
 from .settings import Settings, parse_address
 from .store import Compacted, Store, StoreDown
 from .transport import Reply
-from .units import Epoch, JobId, NodeName, Steady, Term, steady_now
+from .units import Epoch, JobId, NodeName, Steady, Term, WallTime, steady_now, wall_now
 from .wire import Flavour, FlavourList, RunStatus
 
 log = logging.getLogger("ryewing.node")
 WATCH_S = 8.0
 MESH_S = 0.6
+CANCEL_KNOWN_S = 10.0
+"""The longest that a working watch takes to bring a change: its wait and its deadline."""
+ABSTAIN_S = 15.0
+"""How long a node that was cut from the workers leaves leadership to the others."""
 
 
 class Node:
@@ -65,6 +69,7 @@
         self._flavours_read_at = Steady(-1e9)
         self._leader_name: str | None = None
         self._leader_term = Term(0)
+        self._abstain_until = Steady(0.0)
         self._peers = {m.node: Peer(parse_address(m.address)) for m in settings.members}
         self._relay_budget = Budget(0.2 * limits.rps, 0.2 * limits.rps)
         sockets = settings.params.resources.fd_limit
@@ -100,6 +105,11 @@
                     return
                 continue
             self._note(view)
+            wait = self._abstain_until - steady_now()
+            if wait > 0 and view.holder is None:
+                gevent.sleep(min(wait, 0.5))
+                view = read_view(self.store)
+                continue
             if may_campaign(view, self.name, self.boot):
                 mandate = campaign(
                     self.store,
@@ -154,6 +164,8 @@
         log.info("event=stepped-down node=%s term=%d why=%s", self.name, leader.term, why)
         self.leader = None
         self._leader_name = None
+        if why == CUT:
+            self._abstain_until = Steady(steady_now() + ABSTAIN_S)
         leader.stop()
 
     def _announce(self, term: Term) -> None:
@@ -203,7 +215,7 @@
             return None
         return RunStatus(job, answer.status, answer.done, answer.running)
 
-    def tell_cancel(self, job: JobId) -> bool:
+    def tell_cancel(self, job: JobId, written_at: WallTime | None) -> bool:
         """Make the leader know of a cancel that is written; False if it may not know.
 
         Only the holder of the lease answers users from memory, and whoever comes after it reads
@@ -221,8 +233,12 @@
             return True
         # The holder is dead, or cut from here. A leader that can reach the store sees the
         # cancel in its watch; one that can't loses its authority to answer within its lease.
-        gevent.sleep(0.3)
-        return False
+        # So once that time is over since the cancel was written, no ask is needed.
+        if written_at is None:
+            return False
+        bound = self.policy.store_lease_s + CANCEL_KNOWN_S
+        bound += 2 * self.settings.params.clock_off_ms / 1000
+        return wall_now() - written_at > bound
 
     def _ask(self, peer: Peer, ask: Ask) -> Answer | None:
         try:
--- a/src/ryewing/store.py
+++ b/src/ryewing/store.py
@@ -14,10 +14,12 @@
 
 from .settings import Address, StateLimits
 from .transport import HttpClient, Reply, Unreachable
-from .units import Epoch, Stamp
+from .units import Epoch, Stamp, Steady, steady_now
 from .wire import ChangeLog, Entry, EntryPage, HoldAnswer, TxnAnswer
 
-DEADLINE_S = 1.5
+DEADLINE_S = 1.0
+ALONE_S = 2.0
+"""How long a node that was alone in losing the store asks its peers first."""
 T = TypeVar("T")
 Relay = Callable[[str, str, bytes | None], Reply | None]
 
@@ -92,6 +94,7 @@
         self._watches = HttpClient(address, 2)
         self.limits = limits
         self.relay: Relay | None = None
+        self._alone_until = Steady(0.0)
 
     def raw(
         self, method: str, path: str, body: bytes | None, deadline_s: float = DEADLINE_S
@@ -108,16 +111,21 @@
         return reply
 
     def _ask(self, method: str, path: str, body: bytes | None = None) -> Reply:
+        relay = self.relay
+        if relay is not None and steady_now() < self._alone_until:
+            relayed = relay(method, path, body)
+            if relayed is not None:
+                return relayed
         try:
             return self.raw(method, path, body)
         except Throttled:
             raise
         except StoreDown:
-            if self.relay is None:
-                raise
-            relayed = self.relay(method, path, body)
+            relayed = relay(method, path, body) if relay is not None else None
             if relayed is None:
                 raise
+            # A peer has reached it: the fault is on this node's side.
+            self._alone_until = Steady(steady_now() + ALONE_S)
             return relayed
 
     def get(self, key: str) -> Entry | None:
@@ -182,6 +190,13 @@
         if reply.status != 200:
             raise StoreDown(str(reply.status))
 
+    def resign(self, tenancy: int) -> None:
+        """End a lease at once."""
+        try:
+            self._http.request("DELETE", f"/holds/{tenancy}", None, DEADLINE_S)
+        except Unreachable as error:
+            raise StoreDown(str(error)) from None
+
     def watch(self, prefix: str, since: Epoch, wait_s: float) -> ChangeLog:
         """Wait for changes under the prefix."""
         path = f"/changes?starts={quote(prefix)}&since={since}&wait_ms={int(wait_s * 1000)}"
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -621,6 +621,42 @@
     assert len(stage.leader._to_give_up(stage.clock())) == silent
 
 
+def test_machines_falling_silent_one_after_another_are_not_released(stage: Stage) -> None:
+    """Found on a day of our own: the first of many to fall silent looked like few."""
+    workers = [stage.worker(f"i-{n:06d}") for n in range(9)]
+    stage.ready(*workers)
+    for worker in workers[3:]:
+        stage.later(0.3)
+        stage.exchange(worker)
+    stage.later(policy().silence_s - 1.0)  # the first three are silent, the others only late
+    assert stage.leader._to_give_up(stage.clock()) == []
+
+
+def test_asking_many_silent_machines_never_waits(stage: Stage) -> None:
+    """Found on a day of our own: a full pool of senders interrupted a loop over the machines."""
+    workers = [stage.worker(f"i-{n:06d}") for n in range(100)]
+    stage.ready(*workers)
+    del stage.leader._send_soon
+    spawned: list[object] = []
+    stage.leader._senders.spawn = lambda *args: spawned.append(args)
+    stage.later(policy().silence_s)
+    stage.leader._probe(stage.clock())
+    stage.leader._probe(stage.clock())
+    assert len(spawned) == 100  # one each, at once, and none twice
+
+
+@pytest.mark.parametrize(("silent", "cut"), [(2, False), (6, False), (7, True), (9, True)])
+def test_a_leader_that_hears_hardly_any_worker_resigns(
+    stage: Stage, silent: int, cut: bool
+) -> None:
+    workers = [stage.worker(f"i-{n:06d}") for n in range(9)]
+    stage.ready(*workers)
+    stage.later(policy().silence_s + 1.0)
+    for worker in workers[silent:]:
+        stage.exchange(worker)
+    assert stage.leader.cut_from_workers(stage.clock()) is cut
+
+
 def test_a_machine_that_fails_several_jobs_is_set_aside(stage: Stage) -> None:
     worker = stage.worker()
     stage.ready(worker)
