--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -877,11 +877,12 @@
             self._probe(now)
             if self.settings.members and self._gathered and self.cut_from_workers(now):
                 # Another node may reach them; waiting for it costs every machine its tasks.
+                # Authority ends before the lease does: its end may be made known late.
+                self._lose(CUT)
                 try:
                     self.store.resign(self.mandate.tenancy)
-                except StoreDown:
-                    pass
-                self._lose(CUT)
+                except StoreDown as error:
+                    log.debug("event=resign-failed error=%s", error)
                 return
 
     def cut_from_workers(self, now: Steady) -> bool:
--- a/src/ryewing/mesh.py
+++ b/src/ryewing/mesh.py
@@ -55,8 +55,8 @@
     """The answer to a poll; no status: the asker must read the store."""
 
     status: str | None = None
-    done: int = 0
-    running: int = 0
+    done: int | None = None
+    running: int | None = None
 
 
 class Ack(msgspec.Struct, tag="ack"):
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -10,6 +10,7 @@
 
 from .api import Api, ApiServer, Finals
 from .budget import Budget
+from .jobs import CANCELLED, DONE
 from .leader import CUT, FLAVOURS_KEY, Leader
 from .leadership import (
     HOLDER_KEY,
@@ -213,6 +214,8 @@
         answer = self._ask(peer, PollJob(job))
         if not isinstance(answer, JobState) or answer.status is None:
             return None
+        if answer.status in (DONE, CANCELLED):
+            self.finals.put(job, answer.status)
         return RunStatus(job, answer.status, answer.done, answer.running)
 
     def tell_cancel(self, job: JobId, written_at: WallTime | None) -> bool:
@@ -279,7 +282,7 @@
         state = self.leader.poll(job) if self.leader is not None else None
         if state is None:
             return JobState()
-        return JobState(state.status, state.done or 0, state.running or 0)
+        return JobState(state.status, state.done, state.running)
 
     def _on_relay(self, ask: RelayAsk) -> RelayAnswer:
         if not self._relay_budget.take():
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,270 @@
+#!/usr/bin/env python3
+"""A small world on loopback for the quick start: store, cloud, workers and controllers.
+
+    python3 tests/loopback.py --controllers 3 --port 18000
+
+It writes the controllers' settings files, starts them as processes of their own, and plays the
+rest in this one. Tasks run for their job's `guess_s`. Ctrl-C ends it all.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
+if (ROOT / "target" / "deps").is_dir():
+    sys.path.insert(0, str(ROOT / "target" / "deps"))
+
+import gevent  # noqa: E402
+import msgspec  # noqa: E402
+from gevent.pywsgi import WSGIServer  # noqa: E402
+from standins import RAW_SETTINGS, FakeCloud, FakeStore, FakeWorker  # noqa: E402
+
+from ryewing.cloud import NoCapacity  # noqa: E402
+from ryewing.jobs import JobRecord, live_key  # noqa: E402
+from ryewing.store import LeaseLost, Put, Remove  # noqa: E402
+from ryewing.transport import HttpClient, Unreachable  # noqa: E402
+from ryewing.units import Epoch, JobId, Stamp  # noqa: E402
+from ryewing.wire import (  # noqa: E402
+    FlavourList,
+    Hire,
+    HostPage,
+    Hosts,
+    ListedHost,
+    Orders,
+    ReportAnswer,
+    ReportedPiece,
+)
+
+Handler = Any
+BOOT_S = 1.0
+REPORT_S = 1.0
+
+
+def serve(port: int, handler: Handler) -> WSGIServer:
+    """Serve JSON on a loopback port."""
+
+    def application(environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        body = environ["wsgi.input"].read()
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        status, answer = handler(environ["REQUEST_METHOD"], environ["PATH_INFO"], query, body)
+        start(f"{status} -", [("Content-Type", "application/json")])
+        return [msgspec.json.encode(answer)]
+
+    server = WSGIServer(("127.0.0.1", port), application, log=None)
+    server.start()
+    return server
+
+
+class World:
+    """Everything round the controllers."""
+
+    def __init__(self, port: int, controllers: int) -> None:
+        self.port = port
+        self.store = FakeStore()
+        self.cloud = FakeCloud()
+        self.controllers = [f"n-{n}" for n in range(controllers)]
+        self.api = {name: port + 10 + 2 * n for n, name in enumerate(self.controllers)}
+        self.renewals: dict[int, gevent.Greenlet] = {}
+        self.live: dict[str, FakeWorker] = {}
+
+    def start(self) -> None:
+        """Open the ports of store and cloud."""
+        serve(self.port, self.on_store)
+        serve(self.port + 1, self.on_cloud)
+
+    def settings(self, name: str) -> dict[str, Any]:
+        """Make one controller's settings."""
+        raw: dict[str, Any] = msgspec.json.decode(msgspec.json.encode(RAW_SETTINGS))
+        raw.update(
+            node=name,
+            api_addr=f"127.0.0.1:{self.api[name]}",
+            mesh_addr=f"127.0.0.1:{self.api[name] + 1}",
+            members=[
+                {"node": other, "domain": "a", "address": f"127.0.0.1:{port + 1}"}
+                for other, port in self.api.items()
+                if other != name
+            ],
+            endpoints={
+                "state": f"127.0.0.1:{self.port}",
+                "cloud": f"127.0.0.1:{self.port + 1}",
+            },
+        )
+        raw["params"]["workers"]["report_s"] = REPORT_S
+        return raw
+
+    # -- the state service ------------------------------------------------------------------
+
+    def _expiry(self, tenancy: int, ttl_s: float) -> None:
+        gevent.sleep(ttl_s)
+        self.store.expire(tenancy)
+
+    def on_store(
+        self, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
+        """Answer as the state service."""
+        store = self.store
+        if path == "/holds":
+            ttl_s = msgspec.json.decode(body)["ttl_ms"] / 1000
+            tenancy = store.grant(ttl_s)
+            self.ttl_s = ttl_s
+            self.renewals[tenancy] = gevent.spawn(self._expiry, tenancy, ttl_s)
+            return 200, {"tenancy": tenancy}
+        if path.startswith("/holds/"):
+            tenancy = int(path.split("/")[2])
+            try:
+                store.renew(tenancy, 1.0)
+            except LeaseLost:
+                return 404, {}
+            self.renewals[tenancy].kill()
+            if method == "DELETE":
+                store.expire(tenancy)
+            else:
+                self.renewals[tenancy] = gevent.spawn(self._expiry, tenancy, self.ttl_s)
+            return 200, {}
+        if path == "/txn":
+            ask = msgspec.json.decode(body)
+            writes = [
+                Put(w["set"], w["data"], w.get("tenancy")) if "set" in w else Remove(w["remove"])
+                for w in ask["writes"]
+            ]
+            try:
+                result = store.txn({c["k"]: Stamp(c["stamp"]) for c in ask["if"]}, writes)
+            except LeaseLost:
+                return 400, {"error": "no such lease"}
+            answer = {"epoch": result.epoch, "failed": sorted(result.failed)}
+            return (200 if result.ok else 409), answer
+        if path == "/changes":
+            for _ in range(int(query.get("wait_ms", "0")) // 20 + 1):
+                changes = store.watch(query["starts"], Epoch(int(query["since"])), 0.0)
+                if changes.log:
+                    break
+                gevent.sleep(0.02)
+            return 200, changes
+        if path == "/store":
+            pairs, epoch = store.listing(query.get("starts", ""))
+            return 200, {"pairs": pairs, "has_next": False, "epoch": epoch}
+        entry = store.get(path.removeprefix("/store/"))
+        return (200, entry) if entry is not None else (404, {"epoch": store.epoch})
+
+    # -- the cloud --------------------------------------------------------------------------
+
+    def on_cloud(
+        self, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
+        """Answer as the cloud."""
+        if path == "/machine_types":
+            return 200, FlavourList(self.cloud.flavours())
+        if path == "/machines" and method == "POST":
+            hire = msgspec.json.decode(body, type=Hire)
+            known = hire.hire in self.cloud.answers
+            try:
+                names = self.cloud.rent(hire)
+            except NoCapacity:
+                return 503, {"error": "no capacity"}
+            for name in () if known else names:
+                worker = FakeWorker(str(name), hire.flavour, hire.site, hire.loaner)
+                gevent.spawn(self.work, worker)
+            return 200, Hosts([str(name) for name in names])
+        if path == "/machines/release":
+            for gone in msgspec.json.decode(body, type=Hosts).hosts:
+                self.live.pop(gone, None)
+            return 200, {}
+        listed = [ListedHost(w.name, w.flavour, w.site, "running") for w in self.live.values()]
+        return 200, HostPage(listed)
+
+    # -- the workers ------------------------------------------------------------------------
+
+    def _run(self, worker: FakeWorker, key: tuple[str, int]) -> None:
+        entry = self.store.get(live_key(JobId(key[0].split("/")[0])))
+        if entry is not None:
+            gevent.sleep(msgspec.json.decode(entry.data, type=JobRecord).run.guess_s)
+        piece = worker.pieces.get(key)
+        if piece is not None and piece.status == "running":
+            worker.pieces[key] = ReportedPiece(piece.piece, piece.attempt, "ended", "done")
+
+    def _obey(self, worker: FakeWorker, mandate: int, orders: list[Any]) -> None:
+        before = set(worker.pieces)
+        worker.execute(mandate, orders)
+        for key in set(worker.pieces) - before:
+            gevent.spawn(self._run, worker, key)
+
+    def work(self, worker: FakeWorker) -> None:
+        """Be one machine: boot, take direct commands, report."""
+        gevent.sleep(BOOT_S)
+        self.live[worker.name] = worker
+        port = self.port + 100 + int(worker.name[2:])
+
+        def report() -> Any:
+            message = worker.report()
+            message.addr = f"127.0.0.1:{port}"
+            return message
+
+        def commands(method: str, path: str, query: dict[str, str], body: bytes) -> tuple[int, Any]:
+            if path == "/orders":
+                ask = msgspec.json.decode(body, type=Orders)
+                if ask.mandate < worker.mandate or ask.tenure != worker.tenure:
+                    return 409, report()
+                self._obey(worker, ask.mandate, ask.orders)
+            return 200, report()
+
+        server = serve(port, commands)
+        clients = {name: HttpClient(("127.0.0.1", api), 1) for name, api in self.api.items()}
+        at = self.controllers[0]
+        while worker.name in self.live:
+            try:
+                reply = clients[at].request(
+                    "POST", "/v1/report", msgspec.json.encode(report()), 4.0
+                )
+            except Unreachable:
+                reply = None
+            if reply is not None and reply.status == 200:
+                answer = msgspec.json.decode(reply.body, type=ReportAnswer)
+                self._obey(worker, answer.mandate, answer.orders)
+            elif reply is not None and reply.status == 421:
+                at = msgspec.json.decode(reply.body).get("foreman") or at
+                continue
+            else:
+                at = self.controllers[(self.controllers.index(at) + 1) % len(self.controllers)]
+            gevent.sleep(REPORT_S)
+        server.stop(timeout=0)
+
+
+def main() -> None:
+    """Run the world until it is interrupted."""
+    options = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    options.add_argument("--controllers", type=int, default=3)
+    options.add_argument("--port", type=int, default=18000)
+    chosen = options.parse_args()
+    world = World(chosen.port, chosen.controllers)
+    world.start()
+    processes = []
+    with tempfile.TemporaryDirectory() as folder:
+        for name in world.controllers:
+            file = Path(folder) / f"{name}.json"
+            file.write_bytes(msgspec.json.encode(world.settings(name)))
+            command = [sys.executable, str(ROOT / "run.py"), "--config", str(file)]
+            processes.append(subprocess.Popen(command, env=os.environ.copy()))
+            print(f"{name}: users at http://127.0.0.1:{world.api[name]}", flush=True)
+        try:
+            while True:
+                gevent.sleep(1.0)
+        except KeyboardInterrupt:
+            pass
+        finally:
+            for process in processes:
+                process.kill()
+                process.wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_whole.py
@@ -0,0 +1,120 @@
+"""The quick start of the README, as processes on loopback: no clock is faked here."""
+
+from __future__ import annotations
+
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from standins import RAW_SETTINGS, run
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE_S = 90.0
+"""Far above what is needed: a slow machine must not change the verdict."""
+
+
+def free_base() -> int:
+    """Find a range of ports whose first ones are free."""
+    for base in range(21000, 60000, 500):
+        try:
+            for port in (base, base + 1, base + 10, base + 14, base + 100):
+                with socket.socket() as probe:
+                    probe.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return base
+    raise RuntimeError("no free ports")
+
+
+@pytest.fixture(scope="module")
+def base() -> Iterator[int]:
+    port = free_base()
+    process = subprocess.Popen(
+        [sys.executable, str(ROOT / "tests" / "loopback.py"), "--port", str(port)],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        yield port
+    finally:
+        process.send_signal(2)
+        process.wait(30)
+
+
+def ask(url: str, body: bytes | None = None) -> tuple[int, Any]:
+    request = urllib.request.Request(url, body, method="POST" if body is not None else "GET")
+    try:
+        with urllib.request.urlopen(request, timeout=5) as reply:
+            return reply.status, msgspec.json.decode(reply.read())
+    except urllib.error.HTTPError as error:
+        return error.code, msgspec.json.decode(error.read())
+    except OSError:
+        return 0, None
+
+
+def until(url: str, wanted: str, body: bytes | None = None) -> Any:
+    """Ask until the state is the wanted one."""
+    end = time.monotonic() + PATIENCE_S
+    answer: Any = None
+    while time.monotonic() < end:
+        status, answer = ask(url, body)
+        if status in (200, 201) and answer["status"] == wanted:
+            return answer
+        time.sleep(0.2)
+    raise AssertionError(f"{url}: last answer {answer}")
+
+
+def test_submit_run_and_cancel_through_any_controller(base: int) -> None:
+    first, last = (f"http://127.0.0.1:{base + at}/v2/runs" for at in (10, 14))
+    body = msgspec.json.encode(run("run-000001", guess_s=0.5, pieces=5, loaner=True))
+    until(first, "queued", body)
+    until(f"{last}/run-000001", "done")
+    assert ask(first, body) == (200, {"ref": "run-000001", "status": "done"})
+    long = msgspec.json.encode(run("run-000002", guess_s=500.0, shape="group", pieces=2))
+    until(last, "queued", long)
+    until(f"{first}/run-000002", "running")
+    until(f"{last}/run-000002/cancel", "cancelled", b"")
+    assert until(f"{first}/run-000002", "cancelled") == {
+        "ref": "run-000002",
+        "status": "cancelled",
+    }
+    assert ask(f"{first}/run-000099")[0] == 404
+    assert ask(f"{first}/run-000099/cancel", b"")[0] == 404
+    assert ask(first, b"[1]")[0] == 400
+    assert ask(first, b"x" * 70_000)[0] in (413, 0)  # the connection is closed on the sender
+    assert ask(first, msgspec.json.encode(run("run-000003", owner="nobody")))[0] == 422
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code", "text"),
+    [
+        (["--version"], 0, "ryewing 0.1.0"),
+        (["--help"], 0, "--config"),
+        (["check", "GOOD"], 0, "good for node n-0"),
+        (["check", "BAD"], 1, "api_addr"),
+        (["check", "/nowhere.json"], 1, "No such file"),
+        (["--policy", "LUA", "check", "GOOD"], 1, "unknown name"),
+        ([], 2, "--config"),
+    ],
+)
+def test_command_line(tmp_path: Path, arguments: list[str], code: int, text: str) -> None:
+    (tmp_path / "GOOD").write_bytes(msgspec.json.encode(RAW_SETTINGS))
+    (tmp_path / "BAD").write_bytes(msgspec.json.encode({**RAW_SETTINGS, "api_addr": "x"}))
+    (tmp_path / "LUA").write_text("return {colour = 1}")
+    result = subprocess.run(
+        [sys.executable, str(ROOT / "run.py"), *arguments],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert result.returncode == code
+    assert text in result.stdout + result.stderr
