Nudge a worker by its token so that planned starts need not wait for its next report

Cause: starts ride only in report responses, so a start waited up to 3.75 s (1.25 report intervals) for the machine's next report; on a wide job the slowest machine decides. Ruled out: sending starts directly (they could be executed minutes late), holding reports back. A token is now the term and, below it, a count of nudges; a raised one makes the worker report, at most once in half a lease.

--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -43,6 +43,7 @@
 from .store import Compacted, LeaseLost, Put, Remove, Store, StoreDown
 from .units import (
     DRIFT,
+    NUDGES_MAX,
     Attempt,
     Epoch,
     JobId,
@@ -54,6 +55,7 @@
     Zone,
     attempt_of,
     steady_now,
+    term_of,
     wall_now,
 )
 from .wire import Flavour, FlavourList, Hire, Order, Report, ReportAnswer, RunStatus
@@ -78,6 +80,10 @@
 """A leader that hears fewer of its machines than the rest of this share resigns."""
 LATE_AFTER = 1.3
 """Report intervals, a little more than the longest one, after which a report is late."""
+NUDGE_EVERY = 0.51
+"""Leases between two nudges of a worker: it heeds one in half a lease."""
+NUDGE_WITHIN = 0.7
+"""Report intervals since the last report after which no nudge is worth it."""
 PROBE_AFTER = 1.6
 """Report intervals after which a silent machine is asked directly."""
 
@@ -399,7 +405,7 @@
     def on_report(self, report: Report) -> ReportAnswer | None:
         """Answer a worker, or None if this node must not answer 200 now."""
         now = steady_now()
-        if report.mandate > self.term:
+        if term_of(report.mandate) > self.term:
             # A worker has seen a later leader: a 200 from here would be dropped, and would
             # keep the worker here while its lease expires.
             self._lose("overruled")
@@ -426,7 +432,8 @@
             if self.book.dirty:
                 self._write.set()
         self.picture.answered(machine, now)
-        return ReportAnswer(int(self.term), self._compose(machine, report, fresh, now))
+        orders = self._compose(machine, report, fresh, now)
+        return ReportAnswer(int(self.picture.token(machine)), orders)
 
     def _inspect(self, machine: Machine, now: Steady) -> None:
         """Look at what a machine reports for tasks that must go."""
@@ -536,10 +543,11 @@
             orders = [*self._clears(machine), *self.stops.orders(machine.id, now)][:ORDERS_MAX]
             tenure = max(1, machine.version.tenure)
             for _ in range(2):
-                report = self.workers.send(machine.addr, self.term, tenure, orders)
+                token = self.picture.token(machine)
+                report = self.workers.send(machine.addr, token, tenure, orders)
                 if report.host != machine.id:
                     return
-                if report.mandate > self.term:
+                if term_of(report.mandate) > self.term:
                     self._lose("overruled")
                     return
                 now = steady_now()
@@ -622,8 +630,12 @@
         plan = placement.Pass(
             rooms, quota, now, self._rng, self.policy.sample, self._per_card, self._avoid
         ).run(jobs)
+        planned: set[MachineId] = set()
         for batch in plan.batches:
             self._apply(batch, now)
+            planned.update(machine.id for machine, _count in batch.parts)
+        for name in planned:
+            self._nudge(self.picture.machines[name], now)
         for held in plan.stops:
             job = held.job
             mercy = job.run.flush_s if job is not None and job.run.savepoint_s else 0.0
@@ -640,6 +652,25 @@
                 vcpus.free += machine.vcpus
         return queueing.order(jobs, self.settings.params.objectives, cards, vcpus, wall_now())
 
+    def _nudge(self, machine: Machine, now: Steady) -> None:
+        """Make a worker report soon, so that its starts need not wait for its next report.
+
+        A worker reports when its token rises, at most once in half a lease. Not while a start is
+        on its way to it: a response with the lower token, overtaken by this, would be dropped.
+        """
+        times = self.settings.params.workers
+        if machine.heard_at is None or machine.nudges >= NUDGES_MAX:
+            return
+        if machine.nudged_at is not None and now - machine.nudged_at < NUDGE_EVERY * times.lease_s:
+            return
+        if now - machine.heard_at > NUDGE_WITHIN * times.report_s:
+            return  # the next report is due anyway
+        if any(held.phase == SENT for held in machine.holds.values()):
+            return
+        machine.nudged_at = now
+        machine.nudges += 1
+        self._send_soon(machine)
+
     def _placeable(self, job: Job, unheard: list[Machine], now: Steady) -> bool:
         if job.cancelled or job.unwritten or now < job.backoff_until:
             # A job's finished batch is written before the job is refilled.
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -24,8 +24,12 @@
     TaskId,
     TeamName,
     Term,
+    Token,
     Zone,
+    nudges_of,
     parse_task,
+    term_of,
+    token_of,
 )
 from .wire import Flavour, Report, ReportedPiece
 
@@ -112,6 +116,8 @@
         "loaner",
         "may_hold_until",
         "mem_gb",
+        "nudged_at",
+        "nudges",
         "quarantined",
         "recorded",
         "rented_at",
@@ -143,6 +149,8 @@
         self.idle_since = now
         self.warning_s: float | None = None
         self.warned_at = now
+        self.nudges = 0
+        self.nudged_at: Steady | None = None
         self.leaving = False
         self.quarantined = False
         self.holds: dict[TaskId, Hold] = {}
@@ -196,6 +204,10 @@
         self.team_cards: dict[TeamName, float] = {}
         self._lease_s = lease_s * (1 + DRIFT) + LEASE_MARGIN_S
 
+    def token(self, machine: Machine) -> Token:
+        """Give the token for any message to this machine: the highest one sent to it so far."""
+        return token_of(self.term, machine.nudges)
+
     # -- holds ------------------------------------------------------------------------------
 
     def hold(
@@ -331,9 +343,10 @@
         overtaken a response, and settles nothing.
         """
         version = ReportVersion(report.tenure, report.tick)
-        if report.mandate == self.term:
+        if term_of(report.mandate) == self.term:
             # A reading of the token: true whatever the order in which messages come.
             machine.handshaken = True
+            machine.nudges = max(machine.nudges, nudges_of(report.mandate))
         if version <= machine.version:
             return False
         if report.tenure > machine.version.tenure and machine.version != NEVER_HEARD:
--- a/src/ryewing/units.py
+++ b/src/ryewing/units.py
@@ -18,7 +18,9 @@
 FlavourName = NewType("FlavourName", str)
 
 Term = NewType("Term", int)
-"""Who may command: raised by every new leader; it is also the token workers see."""
+"""Who may command: raised by every new leader."""
+Token = NewType("Token", int)
+"""What workers compare: the term, and below it a count of nudges to this worker."""
 Stamp = NewType("Stamp", int)
 """The state service's version of one key; 0 says that the key does not exist."""
 Epoch = NewType("Epoch", int)
@@ -35,6 +37,8 @@
 
 _JOB_ID = re.compile(r"run-[0-9]{1,18}")
 _ATTEMPT_BITS = 24
+_NUDGE_BITS = 20
+NUDGES_MAX = (1 << _NUDGE_BITS) - 1
 
 
 class TaskId(NamedTuple):
@@ -83,3 +87,18 @@
 def attempt_of(term: Term, counter: int) -> Attempt:
     """Derive an attempt number that no other term can give out."""
     return Attempt((int(term) << _ATTEMPT_BITS) | counter)
+
+
+def token_of(term: Term, nudges: int = 0) -> Token:
+    """Make a token: any of a later term is higher than all of an earlier one."""
+    return Token((int(term) << _NUDGE_BITS) | min(nudges, NUDGES_MAX))
+
+
+def term_of(token: int) -> Term:
+    """Tell whose token it is."""
+    return Term(token >> _NUDGE_BITS)
+
+
+def nudges_of(token: int) -> int:
+    """Tell how often the worker was nudged under the token's term."""
+    return token & NUDGES_MAX
--- a/src/ryewing/workers.py
+++ b/src/ryewing/workers.py
@@ -14,7 +14,7 @@
 
 from .settings import parse_address
 from .transport import HttpClient, Unreachable
-from .units import Term
+from .units import Token
 from .wire import Malformed, Order, Orders, Report, read_report
 
 DEADLINE_S = 2.0
@@ -40,14 +40,14 @@
             self._clients.popitem(last=False)[1].close()
         return client
 
-    def send(self, addr: str, term: Term, tenure: int, orders: Sequence[Order]) -> Report:
+    def send(self, addr: str, token: Token, tenure: int, orders: Sequence[Order]) -> Report:
         """Send commands; return the worker's report, which tells if they were taken.
 
         An empty list is the handshake: a worker that takes it refuses older terms from then on.
         """
         if any(order.verb == "start" for order in orders):
             raise ValueError("starts ride in report responses only")
-        body = msgspec.json.encode(Orders(int(term), tenure, list(orders)))
+        body = msgspec.json.encode(Orders(int(token), tenure, list(orders)))
         try:
             client = self._client(addr)
             reply = client.request("POST", "/orders", body, DEADLINE_S)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -15,7 +15,7 @@
 from ryewing.leadership import TERM_KEY, Authority, campaign, read_view
 from ryewing.picture import GATHERING, PLANNED, RUNNING, SENT
 from ryewing.store import Put, StoreDown
-from ryewing.units import JobId, MachineId, NodeName, Stamp, Term
+from ryewing.units import JobId, MachineId, NodeName, Stamp, Term, Token, token_of
 from ryewing.wire import Order, Report, ReportedPiece
 
 
@@ -26,7 +26,7 @@
         self.workers = workers
         self.sent: list[Order] = []
 
-    def send(self, addr: str, term: Term, tenure: int, orders: list[Order]) -> Report:
+    def send(self, addr: str, term: Token, tenure: int, orders: list[Order]) -> Report:
         worker = next(w for w in self.workers.values() if w.report().addr == addr)
         if term >= worker.mandate and tenure == worker.tenure:
             worker.execute(term, orders)
@@ -198,7 +198,7 @@
 
 def test_a_report_with_a_later_token_ends_the_term(stage: Stage) -> None:
     worker = stage.worker()
-    worker.mandate = 6
+    worker.mandate = token_of(Term(6))
     assert stage.leader.on_report(worker.report()) is None
     assert stage.lost == ["overruled"]
 
@@ -219,6 +219,26 @@
     assert stage.holds() == {}
 
 
+def test_a_nudge_raises_the_token_and_every_later_answer_carries_it(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.ready(worker)
+    asked: list[str] = []
+    stage.leader._send_soon = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
+    stage.accept(pieces=2)
+    stage.place()
+    assert asked == [worker.name]
+    machine = stage.leader.picture.machines[MachineId(worker.name)]
+    stage.leader._send(machine)
+    assert worker.mandate == token_of(Term(5), 1)
+    assert len(starts(stage.exchange(worker))) == 2  # a lower token would be dropped
+    stage.accept("run-2", pieces=1)
+    stage.place()
+    assert asked == [worker.name]  # a start is on its way, and half a lease is not over
+    stage.new_leader(6)
+    answer = stage.leader.on_report(worker.report())
+    assert answer is not None and answer.mandate > worker.mandate
+
+
 def test_a_late_report_is_answered_without_starts(stage: Stage) -> None:
     worker = stage.worker()
     stage.ready(worker)
@@ -273,7 +293,7 @@
     assert not stage.leader._ready_to_place()  # a recorded machine has not been heard
     machine = stage.leader.picture.machines[MachineId(worker.name)]
     stage.leader._send(machine)  # the handshake
-    assert machine.handshaken and worker.mandate == 6
+    assert machine.handshaken and worker.mandate == token_of(Term(6))
     assert stage.leader._ready_to_place()
     stage.leader._pass()
     found = stage.leader.book.get(job)
