Keep only as many cards usable as were lately wanted

Now it covers what was lately wanted beyond what is in use, on whole machines. Ruled out: preemption, run times.

--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -84,6 +84,7 @@
 """Leases between two nudges of a worker: it heeds one in half a lease."""
 NUDGE_WITHIN = 0.7
 """Report intervals since the last report after which no nudge is worth it."""
+CARDS_HALF_S = 60.0
 PROBE_AFTER = 1.6
 """Report intervals after which a silent machine is asked directly."""
 
@@ -159,6 +160,8 @@
         self._sending: set[MachineId] = set()
         self._rng = random.Random()
         self._per_card = placement.NO_CARDS
+        self._cards_wanted = 0.0
+        self._cards_seen_at = self._began
         self._attempts = 0
         self._hires = 0
         self._pending_hires: dict[str, Hire] = {}
@@ -628,7 +631,14 @@
             sum(m.flavour.cards for m in unheard),
         )
         plan = placement.Pass(
-            rooms, quota, now, self._rng, self.policy.sample, self._per_card, self._avoid
+            rooms,
+            quota,
+            now,
+            self._rng,
+            self.policy.sample,
+            self._per_card,
+            self._cards_to_keep(jobs, now),
+            self._avoid,
         ).run(jobs)
         planned: set[MachineId] = set()
         for batch in plan.batches:
@@ -652,6 +662,19 @@
                 vcpus.free += machine.vcpus
         return queueing.order(jobs, self.settings.params.objectives, cards, vcpus, wall_now())
 
+    def _cards_to_keep(self, jobs: list[Job], now: Steady) -> float:
+        """Tell how many free cards work without cards must leave usable.
+
+        As many as were lately wanted beyond those in use; the memory of it halves in a minute.
+        """
+        used = sum(self.picture.team_cards.values())
+        wanted = used + sum(job.shortfall * job.run.cards for job in jobs)
+        elapsed = now - self._cards_seen_at
+        self._cards_seen_at = now
+        faded = self._cards_wanted * 0.5 ** (max(0.0, elapsed) / CARDS_HALF_S)
+        self._cards_wanted = max(wanted, faded)
+        return self._cards_wanted - used
+
     def _nudge(self, machine: Machine, now: Steady) -> None:
         """Make a worker report soon, so that its starts need not wait for its next report.
 
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
@@ -16,7 +17,7 @@
 from .jobs import Job
 from .picture import COLD, SAVING, WARM, Hold, Machine
 from .settings import Team
-from .units import Steady, TeamName, Zone
+from .units import MachineId, Steady, TeamName, Zone
 from .wire import RANKS, Run
 
 EPSILON = 1e-6
@@ -272,6 +273,7 @@
         rng: random.Random,
         sample: int,
         per_card: PerCard = NO_CARDS,
+        cards_kept: float = math.inf,
         avoid: Callable[[Job, Machine], bool] = lambda _job, _machine: False,
     ) -> None:
         self._rooms = rooms
@@ -280,12 +282,33 @@
         self._rng = rng
         self._sample = sample
         self._per_card = per_card
+        self._kept = self._choose_kept(cards_kept)
         self._leave = NO_CARDS
         self._zones: Counter[Zone] = Counter()
         """Where the tasks of the job at hand are, with those placed in this pass."""
         self._avoid = avoid
         self.plan = Plan()
 
+    def _choose_kept(self, cards: float) -> frozenset[MachineId]:
+        """Choose the machines whose free cards are kept usable for work soon to come.
+
+        Whole machines, those in use first: a little kept on each would serve no task anywhere.
+        """
+        kept: set[MachineId] = set()
+        with_cards = [room for room in self._rooms if room.cards > 0]
+        with_cards.sort(
+            key=lambda r: (r.cards >= r.machine.flavour.cards, r.machine.loaner, r.machine.id)
+        )
+        for room in with_cards:
+            if cards <= 0:
+                break
+            kept.add(room.machine.id)
+            cards -= room.cards
+        return frozenset(kept)
+
+    def _leave_on(self, room: Room) -> PerCard:
+        return self._leave if room.machine.id in self._kept else NO_CARDS
+
     def run(self, jobs: Iterable[Job]) -> Plan:
         """Place the jobs in the order given."""
         for job in jobs:
@@ -327,7 +350,7 @@
         for room in rooms:
             # Room that waits for its image is as good as placed: nothing is to be rented for it.
             if left > 0 and self._seed_limit(job, room) == 0:
-                left -= room.count(job.run, left, False, self._leave)
+                left -= room.count(job.run, left, False, self._leave_on(room))
         if left > 0:
             self.plan.short.append((job, left))
 
@@ -404,7 +427,7 @@
     ) -> list[tuple[Room, int]]:
         """Choose rooms for up to `wanted` tasks, or for all of them or none if `whole`."""
         run = job.run
-        fitting = [room for room in rooms if room.count(run, 1, with_dying, self._leave)]
+        fitting = [room for room in rooms if room.count(run, 1, with_dying, self._leave_on(room))]
         if not fitting:
             return []
         # The design says fullest first. Before that come: machines whose cards it would not
@@ -431,7 +454,7 @@
                 most = min(left, self._seed_limit(job, room))
                 if run.spread:
                     most = min(most, job.zone_max - self._zones[site] - by_zone.get(site, 0))
-                count = room.count(run, most, with_dying, self._leave) if most > 0 else 0
+                count = room.count(run, most, with_dying, self._leave_on(room)) if most > 0 else 0
                 if count > 0:
                     parts.append((room, count))
                     by_zone[site] = by_zone.get(site, 0) + count
@@ -504,7 +527,7 @@
             most = min(left, self._seed_limit(job, room))
             if run.spread:
                 most = min(most, job.zone_max - self._zones[site] - sites.get(site, 0))
-            chosen, count = self._free_up(room, run, victims, most, self._leave)
+            chosen, count = self._free_up(room, run, victims, most, self._leave_on(room))
             if count > 0:
                 got.append((room, chosen, count))
                 sites[site] = sites.get(site, 0) + count
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -357,15 +357,15 @@
         now: float = 100.0,
         sample: int = 64,
         unseen: tuple[float, float] = (0.0, 0.0),
-        reserve: bool = True,
+        kept: float = 99.0,
     ) -> placement.Plan:
         per_card = placement.NO_CARDS
-        for one in self.book if reserve else ():
+        for one in self.book:
             per_card = per_card.widened(one)
         quota = placement.Quota(TEAMS, self.picture.team_vcpus, self.picture.team_cards, *unseen)
         rooms = [placement.Room(m) for m in self.picture.machines.values() if m.usable()]
         return placement.Pass(
-            rooms, quota, Steady(T0 + now), random.Random(1), sample, per_card
+            rooms, quota, Steady(T0 + now), random.Random(1), sample, per_card, kept
         ).run(jobs)
 
 
@@ -442,6 +442,17 @@
     assert spread_of(world.plan(urgent)) == {"i-1": 1}  # more important work may
 
 
+@pytest.mark.parametrize(("kept", "expected"), [(0.0, 24), (2.0, 14), (5.0, 4), (99.0, 4)])
+def test_only_cards_that_are_soon_wanted_are_kept(kept: float, expected: int) -> None:
+    """Found on a rough day: 200 processors lay idle beside cards that nobody wanted."""
+    world = World()
+    for n in range(2):
+        world.machine(f"i-{n}", GPU)
+    world.job("run-9", cards=1.0, vcpus=5.0)
+    one = world.job("run-1", pieces=40, vcpus=2.0, mem_gb=1.0)
+    assert sum(spread_of(world.plan(one, kept=kept)).values()) == expected
+
+
 def test_urgent_work_stops_lesser_work_rather_than_strand_cards() -> None:
     """Found on quiet days: gangs that ran for minutes beside cards that nobody could use."""
     world = World()
