--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -148,9 +148,9 @@
     )
 
 
-def strands_cards(run: Run, machine: Machine) -> bool:
-    """Tell whether a task without cards would sit on a machine with cards."""
-    return run.cards <= 0 and machine.flavour.cards > 0
+def strands_cards(run: Run, machine: Machine) -> float:
+    """Tell beside how many cards a task without cards would sit."""
+    return machine.flavour.cards if run.cards <= 0 else 0.0
 
 
 class Quota:
@@ -341,11 +341,13 @@
         if not self._may_go_cold(job, rooms):
             rooms = [room for room in rooms if room.machine.warmth(job.run.bundle) < COLD]
         if job.run.cards <= 0 and job.rank < self._per_card.rank:
-            # Important enough to need no reserve: first stop lesser work elsewhere, since a task
-            # that runs for minutes beside idle cards costs more than what is stopped.
-            plain = [room for room in rooms if not strands_cards(job.run, room.machine)]
-            left -= self._place_in(job, left, plain, whole)
-        if left > 0:
+            # Important enough to need no reserve: first stop lesser work where there are no or
+            # few cards, since a task that runs for minutes beside idle ones costs more.
+            for cards in sorted({room.machine.flavour.cards for room in rooms}):
+                few = [room for room in rooms if room.machine.flavour.cards <= cards]
+                if left > 0:
+                    left -= self._place_in(job, left, few, whole)
+        else:
             left -= self._place_in(job, left, rooms, whole)
         for room in rooms:
             # Room that waits for its image is as good as placed: nothing is to be rented for it.
@@ -473,7 +475,7 @@
         """Stop less important work for the job; return for how many tasks room was found."""
         run = job.run
         wanted = min(wanted, PREEMPT_MAX)
-        options: list[tuple[bool, float, int, Room, list[Hold]]] = []
+        options: list[tuple[float, float, int, Room, list[Hold]]] = []
         for number, room in enumerate(rooms):
             victims = [
                 held
@@ -510,7 +512,7 @@
         self,
         job: Job,
         wanted: int,
-        options: list[tuple[bool, float, int, Room, list[Hold]]],
+        options: list[tuple[float, float, int, Room, list[Hold]]],
         only: Zone | None,
     ) -> list[tuple[Room, list[Hold], int]]:
         """Choose whom to stop for a job, in one zone or in any."""
