Judge a job's guarantee once, when it comes

Cause: judged in every pass, the oldest jobs of an overloaded team were always within its guarantee and went first, so that late jobs took the room of those that could be on time.

--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -111,6 +111,7 @@
         "guess_factor",
         "id",
         "inherited",
+        "judged",
         "live",
         "rank",
         "run",
@@ -139,6 +140,7 @@
         self.chunks_written: set[int] = set()
         self.gang_attempt: int | None = None
         self.guaranteed = False
+        self.judged = False
         self.failed_on: dict[MachineId, Steady] = {}
         self.backoff_s = 0.0
         self.backoff_until = Steady(0.0)
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -215,10 +215,13 @@
 
 
 def mark_guarantees(jobs: Iterable[Job], teams: dict[str, Team]) -> None:
-    """Mark the jobs that fit into their team's guarantee with the team's earlier ones."""
+    """Mark the jobs that fit into their team's guarantee with the team's earlier ones.
+
+    Judged once, when a job comes. Judged again and again, the oldest jobs of a team that asks for
+    far more than its guarantee would always be within it, and late ones would go first.
+    """
     used: dict[str, tuple[float, float]] = {}
     for job in sorted(jobs, key=lambda j: (j.at, j.id)):
-        job.guaranteed = False
         team = teams.get(job.run.owner)
         if job.cancelled or team is None or not (team.cpus or team.gpus):
             continue
@@ -227,6 +230,9 @@
         vcpus += job.run.vcpus * left
         cards += job.run.cards * left
         used[team.name] = (vcpus, cards)
+        if job.judged:
+            continue
+        job.judged = True
         counted = (team.cpus and job.run.vcpus) or (team.gpus and job.run.cards)
         job.guaranteed = bool(
             counted
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -563,6 +563,10 @@
     ]
     placement.mark_guarantees(jobs, TEAMS)
     assert [one.guaranteed for one in jobs] == [True, False, False, False, True]
+    for index in range(3):
+        jobs[0].finish(index)
+    placement.mark_guarantees(jobs, TEAMS)  # judged once, when a job comes
+    assert [one.guaranteed for one in jobs] == [True, False, False, False, True]
 
 
 # -- queueing -----------------------------------------------------------------------------------
