--- a/src/ryewing/api.py
+++ b/src/ryewing/api.py
@@ -42,6 +42,7 @@
 SUBMITS_AT_ONCE = 64
 STORE_READS_AT_ONCE = 24
 BODY_S = 5.0
+FULL_RETRY_S = 30.0
 _RUN_PATH = re.compile(r"/v2/runs/([^/]+)(/cancel)?")
 _STATUS_LINES = {
     200: "200 OK",
@@ -184,6 +185,8 @@
             why = impossible(run, flavours, node.teams)
             if why is not None:
                 refusal = Response(422, {"error": why})
+            elif node.full():
+                refusal = self._busy("too many unfinished jobs", FULL_RETRY_S)
             elif run.flavours is not None:
                 run.flavours = [name for name in run.flavours if name in flavours]
         if refusal is not None:
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -66,6 +66,9 @@
 MACHINE_PREFIX = "m/"
 HIRE_PREFIX = "h/"
 FLAVOURS_KEY = "flavours"
+JOB_BYTES = 4096
+"""What a live job takes, tasks on machines aside: 1.8 KiB as measured, with room to spare."""
+JOBS_MEMORY_SHARE = 0.25
 ORDERS_MAX = 500
 """Commands in one response: keeps its line within 64 KiB."""
 SENDS_AT_ONCE = 24
@@ -320,6 +323,11 @@
 
     # -- jobs -------------------------------------------------------------------------------
 
+    def full(self) -> bool:
+        """Tell whether more jobs would endanger the memory of this process."""
+        room = self.settings.params.resources.mem_mb * JOBS_MEMORY_SHARE * 1e6
+        return len(self.book.jobs) * JOB_BYTES >= room
+
     def poll(self, job_id: JobId) -> RunStatus | None:
         """Tell a job's state, or None if only the store can tell.
 
--- a/src/ryewing/mesh.py
+++ b/src/ryewing/mesh.py
@@ -43,6 +43,10 @@
     term: int
 
 
+class LoadAsk(msgspec.Struct, tag="load"):
+    """A follower asks whether the leader can take more jobs."""
+
+
 class RelayAsk(msgspec.Struct, tag="relay"):
     """A node that alone can't reach the store asks through a peer."""
 
@@ -72,7 +76,7 @@
     body: bytes = b""
 
 
-Ask = Union[PollJob, CancelNotice, LeaderNotice, RelayAsk]
+Ask = Union[PollJob, CancelNotice, LeaderNotice, LoadAsk, RelayAsk]
 Answer = Union[JobState, Ack, RelayAnswer]
 Handler = Callable[[Ask], Answer]
 
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -29,6 +29,7 @@
     CancelNotice,
     JobState,
     LeaderNotice,
+    LoadAsk,
     MeshServer,
     Peer,
     PeerSilent,
@@ -48,6 +49,7 @@
 MESH_S = 0.6
 CANCEL_KNOWN_S = 10.0
 """The longest that a working watch takes to bring a change: its wait and its deadline."""
+LOAD_EVERY_S = 1.0
 ABSTAIN_S = 15.0
 """How long a node that was cut from the workers leaves leadership to the others."""
 
@@ -71,6 +73,8 @@
         self._leader_name: str | None = None
         self._leader_term = Term(0)
         self._abstain_until = Steady(0.0)
+        self._full = False
+        self._load_asked_at = Steady(-1e9)
         self._peers = {m.node: Peer(parse_address(m.address)) for m in settings.members}
         self._relay_budget = Budget(0.2 * limits.rps, 0.2 * limits.rps)
         sockets = settings.params.resources.fd_limit
@@ -205,6 +209,25 @@
     def _set_flavours(self, flavours: dict[str, Flavour]) -> None:
         self._flavours = flavours
 
+    def full(self) -> bool:
+        """Tell whether the leader holds as many jobs as its memory allows.
+
+        A follower asks at most once a second, in the background, and goes by the last answer.
+        """
+        if self.leader is not None:
+            return self.leader.full()
+        now = steady_now()
+        if now - self._load_asked_at > LOAD_EVERY_S:
+            self._load_asked_at = now
+            gevent.spawn(self._ask_load)
+        return self._full
+
+    def _ask_load(self) -> None:
+        name = self.foreign_leader()
+        peer = self._peers.get(name) if name is not None else None
+        answer = self._ask(peer, LoadAsk()) if peer is not None else None
+        self._full = isinstance(answer, Ack) and not answer.ok
+
     def ask_leader(self, job: JobId) -> RunStatus | None:
         """Ask the leader for a job's state; None if only the store can tell."""
         name = self.foreign_leader()
@@ -266,6 +289,8 @@
         if isinstance(ask, CancelNotice):
             leader = self.leader
             return Ack(leader is not None and leader.take_cancel(JobId(ask.job)))
+        if isinstance(ask, LoadAsk):
+            return Ack(self.leader is None or not self.leader.full())
         if isinstance(ask, LeaderNotice):
             if self.leader is not None and ask.term > self.leader.term:
                 self._step_down("notice")
--- /dev/null
+++ b/tests/test_api.py
@@ -0,0 +1,256 @@
+"""The users' interface against a stand-in store: what is answered when, and never otherwise."""
+
+from __future__ import annotations
+
+import io
+from typing import Any
+
+import msgspec
+import pytest
+from standins import CPU, GPU, FakeStore, policy, run, settings
+
+from ryewing.api import Api, Finals
+from ryewing.jobs import JobRecord, final_key, live_key
+from ryewing.store import Put
+from ryewing.units import JobId
+from ryewing.wire import RunStatus
+
+
+class FakeLeader:
+    """A leader that knows some jobs' states."""
+
+    def __init__(self) -> None:
+        self.states: dict[str, RunStatus] = {}
+
+    def poll(self, job: JobId) -> RunStatus | None:
+        return self.states.get(job)
+
+    def on_report(self, _report: Any) -> None:
+        return None
+
+
+class FakeNode:
+    """What the interface needs of a node."""
+
+    def __init__(self) -> None:
+        self.store = FakeStore()
+        self.policy = policy()
+        self.finals = Finals(kept=3)
+        self.leader: FakeLeader | None = None
+        self.teams = {team.name: team for team in settings().params.teams}
+        self.flavours = {"c32": CPU, "g4": GPU}
+        self.leader_knows = True
+        self.is_full = False
+        self.follows: str | None = "n-1"
+        self.remote: dict[str, RunStatus] = {}
+
+    def healthy(self) -> bool:
+        return True
+
+    def known_flavours(self) -> dict[str, Any]:
+        return self.flavours
+
+    def ask_leader(self, job: JobId) -> RunStatus | None:
+        return self.remote.get(job)
+
+    def tell_cancel(self, _job: JobId, _written_at: float | None) -> bool:
+        return self.leader_knows
+
+    def foreign_leader(self) -> str | None:
+        return self.follows
+
+    def full(self) -> bool:
+        return self.is_full
+
+
+class Client:
+    """Calls the interface as WSGI."""
+
+    def __init__(self) -> None:
+        self.node = FakeNode()
+        self.api = Api(self.node)  # type: ignore[arg-type]
+        self.headers: dict[str, str] = {}
+
+    def __call__(self, method: str, path: str, body: bytes = b"") -> tuple[int, Any]:
+        seen: list[str] = []
+
+        def start(status: str, headers: list[tuple[str, str]]) -> None:
+            seen.append(status)
+            self.headers = dict(headers)
+
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "wsgi.input": io.BytesIO(body),
+        }
+        answer = b"".join(self.api(environ, start))
+        return int(seen[0].split()[0]), msgspec.json.decode(answer)
+
+    def submit(self, **changes: Any) -> tuple[int, Any]:
+        body = {**msgspec.to_builtins(run()), **changes}
+        return self("POST", "/v2/runs", msgspec.json.encode(body))
+
+    def live(self, ref: str = "run-1", cancelled: bool = False) -> None:
+        record = JobRecord(run(ref), 0.0, cancelled)
+        self.node.store.txn({}, [Put(live_key(JobId(ref)), record)])
+
+    def final(self, ref: str, status: str) -> None:
+        self.node.store.txn({}, [Put(final_key(JobId(ref)), {"status": status})])
+
+
+@pytest.fixture
+def client() -> Client:
+    return Client()
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/healthz", 200),
+        ("POST", "/healthz", 405),
+        ("GET", "/v2/runs", 405),
+        ("PUT", "/v2/runs/run-1", 405),
+        ("GET", "/v2/runs/run-1/cancel", 405),
+        ("GET", "/v1/report", 405),
+        ("GET", "/", 404),
+        ("GET", "/v2/runs/run-1/more", 404),
+        ("GET", "/v2/runs/run-1", 404),
+        ("GET", "/v2/runs/x", 404),
+        ("POST", "/v2/runs/run-1/cancel", 404),
+        ("POST", "/v1/report", 400),
+    ],
+)
+def test_paths_and_methods(client: Client, method: str, path: str, status: int) -> None:
+    assert client(method, path)[0] == status
+
+
+@pytest.mark.parametrize(
+    ("changes", "status"),
+    [
+        ({}, 201),
+        ({"ref": "job-1"}, 400),
+        ({"ref": None}, 400),
+        ({"pieces": 0}, 400),
+        ({"owner": "nobody"}, 422),
+        ({"vcpus": 1000.0}, 422),
+        ({"flavours": ["c32", "unknown"]}, 201),
+        ({"shape": "daemon", "guess_s": 0.0}, 201),
+    ],
+)
+def test_submissions(client: Client, changes: dict[str, Any], status: int) -> None:
+    assert client.submit(**changes)[0] == status
+
+
+@pytest.mark.parametrize("changes", [{}, {"pieces": 0}, {"owner": "nobody"}])
+@pytest.mark.parametrize("state", ["queued", "cancelled", "done"])
+def test_a_known_job_is_known_before_any_other_judgement(
+    client: Client, state: str, changes: dict[str, Any]
+) -> None:
+    if state == "done":
+        client.final("run-1", "done")
+    else:
+        client.live(cancelled=state == "cancelled")
+    client.node.is_full = True
+    assert client.submit(**changes) == (200, {"ref": "run-1", "status": state})
+
+
+@pytest.mark.parametrize(
+    ("call", "body"),
+    [
+        (("POST", "/v2/runs"), msgspec.json.encode(run())),
+        (("POST", "/v2/runs"), msgspec.json.encode({**msgspec.to_builtins(run()), "pieces": 0})),
+        (("GET", "/v2/runs/run-1"), b""),
+        (("POST", "/v2/runs/run-1/cancel"), b""),
+    ],
+)
+def test_without_the_store_nothing_is_denied(
+    client: Client, call: tuple[str, str], body: bytes
+) -> None:
+    """Neither 404 nor 400: the job may be known to the store."""
+    client.node.store.down = True
+    assert client(*call, body)[0] == 503
+    assert int(client.headers["Retry-After"]) >= 1
+
+
+def test_a_lost_answer_to_an_accepted_submission(client: Client) -> None:
+    client.node.store.lose_answers = True
+    assert client.submit()[0] == 503
+    client.node.store.lose_answers = False
+    assert client.submit() == (200, {"ref": "run-1", "status": "queued"})
+
+
+def test_machine_types_not_known_yet(client: Client) -> None:
+    client.node.flavours = {}
+    assert client.submit()[0] == 503
+
+
+def test_more_jobs_than_memory_allows_are_refused(client: Client) -> None:
+    client.node.is_full = True
+    assert client.submit()[0] == 503
+    assert client.headers["Retry-After"] == "30"
+
+
+def test_large_bodies(client: Client) -> None:
+    assert client("POST", "/v2/runs", b" " * 70_000)[0] == 413
+    assert client.headers["Connection"] == "close"
+
+
+def test_polls_prefer_the_leader_and_fall_back_to_the_store(client: Client) -> None:
+    client.live()
+    assert client("GET", "/v2/runs/run-1")[1]["status"] == "queued"
+    client.node.remote["run-1"] = RunStatus("run-1", "running", 1, 3)
+    assert client("GET", "/v2/runs/run-1")[1] == {
+        "ref": "run-1",
+        "status": "running",
+        "done": 1,
+        "running": 3,
+    }
+
+
+def test_final_states_are_remembered_in_a_bounded_way(client: Client) -> None:
+    for n in range(1, 6):
+        client.final(f"run-{n}", "done")
+        assert client("GET", f"/v2/runs/run-{n}")[0] == 200
+    client.node.store.down = True
+    seen = [client("GET", f"/v2/runs/run-{n}")[0] for n in range(1, 6)]
+    assert seen == [503, 503, 200, 200, 200]
+
+
+@pytest.mark.parametrize(
+    ("state", "answer"),
+    [("live", "cancelled"), ("cancelled", "cancelled"), ("done", "done")],
+)
+def test_cancels(client: Client, state: str, answer: str) -> None:
+    if state == "done":
+        client.final("run-1", "done")
+    else:
+        client.live(cancelled=state == "cancelled")
+    expected = (200, {"ref": "run-1", "status": answer})
+    assert client("POST", "/v2/runs/run-1/cancel") == expected
+    assert client("GET", "/v2/runs/run-1") == expected
+
+
+def test_no_user_is_told_of_a_cancel_before_the_leader_knows(client: Client) -> None:
+    """The leader answers polls from memory: it could go on telling an older state."""
+    client.live()
+    client.node.leader_knows = False
+    assert client("POST", "/v2/runs/run-1/cancel")[0] == 503
+    client.node.leader_knows = True
+    assert client("POST", "/v2/runs/run-1/cancel")[0] == 200
+
+
+@pytest.mark.parametrize(
+    ("leads", "follows", "status", "body"),
+    [
+        (False, "n-1", 421, {"foreman": "n-1"}),
+        (True, "n-1", 421, {"foreman": "n-1"}),  # leads no longer, or may not answer
+        (False, None, 503, {"error": "no leader is known"}),
+    ],
+)
+def test_workers_are_sent_to_the_leader(
+    client: Client, leads: bool, follows: str | None, status: int, body: dict[str, str]
+) -> None:
+    client.node.leader = FakeLeader() if leads else None
+    client.node.follows = follows
+    report = {"host": "i-1", "tenure": 1, "tick": 1, "mandate": 0, "flavour": "c32", "site": "a"}
+    assert client("POST", "/v1/report", msgspec.json.encode(report)) == (status, body)
