Add the rows that taking each guard out once found missing

32 guards were taken out one by one; five were missed by no row: refilling before a back-off ends, a new session seen in a direct answer, zones across two steps of a pass, unseen room beside used room, and accepting a finished job again. Each has a row now, and fails without its guard.

--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -143,14 +143,15 @@
 
 @pytest.mark.parametrize("changes", [{}, {"pieces": 0}, {"owner": "nobody"}])
 @pytest.mark.parametrize("state", ["queued", "cancelled", "done"])
+@pytest.mark.parametrize("full", [False, True])
 def test_a_known_job_is_known_before_any_other_judgement(
-    client: Client, state: str, changes: dict[str, Any]
+    client: Client, state: str, changes: dict[str, Any], full: bool
 ) -> None:
     if state == "done":
         client.final("run-1", "done")
     else:
         client.live(cancelled=state == "cancelled")
-    client.node.is_full = True
+    client.node.is_full = full
     assert client.submit(**changes) == (200, {"ref": "run-1", "status": state})
 
 
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -239,6 +239,18 @@
     assert answer is not None and answer.mandate > worker.mandate
 
 
+def test_a_new_session_seen_in_an_orders_body_voids_an_assumed_start(stage: Stage) -> None:
+    """The worker drops responses to reports of an earlier session."""
+    worker = stage.worker()
+    stage.ready(worker)
+    stage.accept(pieces=1)
+    stage.place()
+    assert stage.leader.on_report(worker.report()) is not None  # lost on its way
+    worker.tenure += 1
+    stage.leader._send(stage.leader.picture.machines[MachineId(worker.name)])
+    assert stage.holds() == {}
+
+
 def test_a_late_report_is_answered_without_starts(stage: Stage) -> None:
     worker = stage.worker()
     stage.ready(worker)
@@ -704,8 +716,14 @@
     assert found is not None
     first = found.backoff_s
     assert found.backoff_until > stage.clock() and first >= 2.0
+    fresh = stage.worker("i-000009")
+    stage.ready(fresh)
+    stage.place()
+    assert not any(stage.holds(worker.name) for worker in [*workers, fresh])
+    stage.later(first + 0.1)
+    stage.exchange(fresh)
     stage.place()
-    assert not any(stage.holds(worker.name) for worker in workers)
+    assert stage.holds(fresh.name)
     assert not any(m.quarantined for m in stage.leader.picture.machines.values())
 
 
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -430,6 +430,9 @@
         world.machine(f"i-{n}", GPU)
     placed = spread_of(world.plan(world.job("run-1", pieces=12, cards=1.0), unseen=unseen))
     assert sum(placed.values()) == expected
+    world.put(world.job("run-2", pieces=2, cards=1.0), world.machine("i-9", GPU), 2)
+    placed = spread_of(world.plan(world.job("run-3", pieces=12, cards=1.0), unseen=unseen))
+    assert sum(placed.values()) == expected - 2
 
 
 def test_tasks_without_cards_leave_what_cards_need() -> None:
@@ -466,6 +469,16 @@
     assert {held.machine.id for held in plan.stops} == {"i-2"}
 
 
+def test_both_steps_of_urgent_work_keep_to_one_zone() -> None:
+    """Found by the table above: a second step chose its zone anew."""
+    world = World()
+    world.machine("i-1", site="a")
+    world.machine("i-2", GPU, site="b")
+    world.job("run-8", cards=1.0)
+    one = world.job("run-1", rank="urgent", pieces=12, together=True)
+    assert spread_of(world.plan(one)) == {"i-1": 8}
+
+
 def test_preemption_tries_every_zone() -> None:
     """Found on a rough day: bound to the first zone looked at, an urgent job waited for ever."""
     world = World()
