--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -44,6 +44,8 @@
 ENDED = "ended"
 LIVE_PHASES = frozenset((FETCHING, GATHERING, RUNNING, SAVING))
 LEASE_MARGIN_S = 0.5
+FAILS_ANYWHERE = 3
+"""A job that failed on so many machines is thought to fail on every one."""
 WARM, FETCHED_NOW, COLD = range(3)
 
 
@@ -439,6 +441,11 @@
         job.failed_on[machine.id] = now
         machine.faults.add(job.id)
         log.warning("job=%s machine=%s event=task-failed", job.id, machine.id)
-        if len(job.failed_on) >= 3:
+        if len(job.failed_on) >= FAILS_ANYWHERE:
+            # The job is at fault, not the machines.
+            for name in job.failed_on:
+                other = self.machines.get(name)
+                if other is not None:
+                    other.faults.discard(job.id)
             job.backoff_s = min(60.0, max(2.0, job.backoff_s * 2))
             job.backoff_until = Steady(now + job.backoff_s)
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -357,7 +357,7 @@
             left -= self._place_in(job, left, rooms, whole)
         for room in rooms:
             # Room that waits for its image is as good as placed: nothing is to be rented for it.
-            if left > 0 and self._seed_limit(job, room) == 0:
+            if left > 0 and not room.machine.faults and self._seed_limit(job, room) == 0:
                 left -= room.count(job.run, left, False, self._leave_on(room))
         if left > 0:
             self.plan.short.append((job, left))
@@ -401,6 +401,9 @@
         The rest of the room serves warm jobs meanwhile. Gangs need their tasks at once.
         """
         run = job.run
+        if room.machine.faults:
+            # It failed a task and has finished none since: one more is a probe, many a waste.
+            return 0 if room.machine.holds or room.seeded else 1
         warmth = room.machine.warmth(run.bundle)
         if job.gang or warmth == WARM:
             return run.pieces
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -566,6 +566,19 @@
     assert spread_of(world.plan(world.job("run-2", pieces=8, image_gb=1.0))) == {"i-1": 8}
 
 
+def test_a_machine_that_failed_a_task_gets_one_at_a_time() -> None:
+    """Found in inc-9466: 32 tasks of other jobs followed 16 failed ones onto a faulty machine."""
+    world = World()
+    suspect = world.machine("i-1")
+    suspect.faults.add("run-9")
+    one = world.job("run-1", pieces=8)
+    assert spread_of(world.plan(one)) == {"i-1": 1}
+    world.put(one, suspect, 1)
+    assert spread_of(world.plan(one)) == {}
+    suspect.faults.clear()  # as a finish does
+    assert spread_of(world.plan(one)) == {"i-1": 7}
+
+
 def test_guarantee_counts_earlier_unfinished_jobs() -> None:
     jobs = [
         job("run-1", at=1.0, cards=1.0, pieces=3),
