Use machines last where the same jobs' tasks take much longer

Asked for by the users: a slow machine is told from a slow job by comparing tasks of one job across machines.

--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -44,6 +44,7 @@
 ENDED = "ended"
 LIVE_PHASES = frozenset((FETCHING, GATHERING, RUNNING, SAVING))
 LEASE_MARGIN_S = 0.5
+PACE_WEIGHT, PACE_MAX, SLOW_PACE = 0.2, 3.0, 1.4
 FAILS_ANYWHERE = 3
 """A job that failed on so many machines is thought to fail on every one."""
 WARM, FETCHED_NOW, COLD = range(3)
@@ -120,6 +121,7 @@
         "mem_gb",
         "nudged_at",
         "nudges",
+        "pace",
         "quarantined",
         "recorded",
         "rented_at",
@@ -151,6 +153,8 @@
         self.idle_since = now
         self.warning_s: float | None = None
         self.warned_at = now
+        self.pace = 1.0
+        """How long tasks take here, as against the same jobs' tasks elsewhere."""
         self.nudges = 0
         self.nudged_at: Steady | None = None
         self.leaving = False
@@ -180,6 +184,16 @@
             and self.warning_s is None
         )
 
+    def note_pace(self, job: Job, took_s: float) -> None:
+        """Compare a finished task with what its job's tasks were seen to take so far."""
+        if job.run_seen_s:
+            ratio = min(PACE_MAX, took_s / job.run_seen_s)
+            self.pace += PACE_WEIGHT * (ratio - self.pace)
+
+    def slow(self) -> bool:
+        """Tell whether tasks take much longer here; types and chance make a tenth or two."""
+        return self.pace > SLOW_PACE
+
     def warmth(self, bundle: str) -> int:
         """Tell whether an image is probably here, is being fetched, or neither."""
         if bundle in self.images:
@@ -415,6 +429,7 @@
         known = held is not None and held.attempt == attempt
         if held is not None and known:
             if done and job is not None and held.ran_from is not None and held.witnessed:
+                machine.note_pace(job, now - held.ran_from)
                 self.book.took(job, now - held.ran_from)
             self.drop(held, now, finished=done)
         if job is None:
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -441,11 +441,13 @@
         fitting = [room for room in rooms if room.count(run, 1, with_dying, self._leave_on(room))]
         if not fitting:
             return []
-        # The design says fullest first. Before that come: machines whose cards it would not
-        # strand; the image, since a fetch takes longer than most tasks wait; and for jobs that
-        # may use spot machines those, since other jobs can only use the ordinary ones.
+        # The design says fullest first. Before that come: machines that aren't slow; machines
+        # whose cards it would not strand; the image, since a fetch takes longer than most tasks
+        # wait; and for jobs that may use spot machines those, since other jobs can only use the
+        # ordinary ones.
         fitting.sort(
             key=lambda r: (
+                r.machine.slow(),
                 strands_cards(run, r.machine),
                 r.machine.warmth(run.bundle),
                 run.loaner and not r.machine.loaner,
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -579,6 +579,22 @@
     assert spread_of(world.plan(one)) == {"i-1": 7}
 
 
+def test_a_machine_where_the_same_job_takes_longer_is_used_last() -> None:
+    world = World()
+    slow, other = world.machine("i-1"), world.machine("i-2")
+    world.put(world.job("run-9", pieces=1), slow, 1)  # the fuller one, so first by rights
+    many = world.job("run-8", pieces=50)
+    world.book.took(many, 20.0)
+    for _ in range(2):
+        slow.note_pace(many, 40.0)
+    assert not slow.slow()  # two tasks are chance
+    slow.note_pace(many, 40.0)
+    other.note_pace(many, 24.0)
+    assert slow.slow() and not other.slow()
+    assert spread_of(world.plan(world.job("run-1", pieces=1))) == {"i-2": 1}
+    assert spread_of(world.plan(world.job("run-2", pieces=12)))["i-1"] == 4
+
+
 def test_guarantee_counts_earlier_unfinished_jobs() -> None:
     jobs = [
         job("run-1", at=1.0, cards=1.0, pieces=3),
