Say each thing once: room, fetch time, a job's holds, mercy, standing orders

Found by reading the whole change again. The sum of how many tasks fit stood in four places, the check of what a job allows in three, the walk over a job's holds in three; they are count_fitting, allows and Picture.holds_of now. Dead names are gone. Two pieces of repeated work on each pass are gone too: a set built anew for every job in the order, and sorting all jobs for guarantees when none is new.

--- a/src/ryewing/fleet.py
+++ b/src/ryewing/fleet.py
@@ -8,8 +8,9 @@
 
 from collections.abc import Iterable, Sequence
 
-from .jobs import Job, fits_flavour
+from .jobs import Job, count_fitting, fits_flavour
 from .picture import Machine
+from .placement import allows
 from .policy import Policy
 from .units import Steady
 from .wire import Flavour, Run
@@ -19,7 +20,6 @@
 
 NO_CAPACITY_S = 20.0
 NO_CAPACITY_MAX_S = 120.0
-MINIMUM_CHARGE_S = 60.0
 
 
 class Shelf:
@@ -60,15 +60,7 @@
     """Tell how many tasks of a job an empty machine takes."""
     if not fits_flavour(run, flavour):
         return 0
-    most = run.pieces
-    for need, have in (
-        (run.vcpus, flavour.vcpus),
-        (run.cards, flavour.cards),
-        (run.mem_gb, flavour.mem_gb),
-    ):
-        if need > 0:
-            most = min(most, int((have + 1e-6) / need))
-    return most
+    return count_fitting(run, flavour.vcpus, flavour.cards, flavour.mem_gb, run.pieces)
 
 
 def price(flavour: Flavour, spot: bool) -> float:
@@ -130,18 +122,9 @@
         for machine, free in zip(booting, room, strict=True):
             if left <= 0:
                 break
-            if (
-                (run.flavours is not None and machine.flavour.sku not in run.flavours)
-                or (run.site is not None and machine.site != run.site)
-                or (machine.loaner and not run.loaner)
-            ):
-                continue
-            fit = left
-            for need, have in zip((run.vcpus, run.cards, run.mem_gb), free, strict=True):
-                if need > 0:
-                    fit = min(fit, int((have + 1e-6) / need))
-            if fit <= 0:
+            if not allows(run, machine):
                 continue
+            fit = count_fitting(run, free[0], free[1], free[2], left)
             free[0] -= run.vcpus * fit
             free[1] -= run.cards * fit
             free[2] -= run.mem_gb * fit
@@ -181,9 +164,7 @@
         if now - machine.idle_since < policy.idle_return_s and not machine.quarantined:
             continue
         if not machine.quarantined and any(
-            (job.run.flavours is None or machine.flavour.sku in job.run.flavours)
-            and (job.run.site is None or job.run.site == machine.site)
-            and (job.run.loaner or not machine.loaner)
+            allows(job.run, machine)
             and fits_flavour(job.run, machine.flavour)
             and (job.run.cards > 0 or not machine.flavour.cards)
             for job, _count in waiting
--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -26,6 +26,8 @@
 CHUNK = 8192
 """Finished tasks per `d/` record: 1 KiB as bits, well below any `value_kb`."""
 
+EPSILON = 1e-6
+"""Amounts are sums of decimal fractions: so much too little is still enough."""
 DONE = "done"
 CANCELLED = "cancelled"
 
@@ -67,6 +69,14 @@
     )
 
 
+def count_fitting(run: Run, vcpus: float, cards: float, mem_gb: float, limit: int) -> int:
+    """Tell how many of a job's tasks fit into some room, up to a limit."""
+    for need, have in ((run.vcpus, vcpus), (run.cards, cards), (run.mem_gb, mem_gb)):
+        if need > 0:
+            limit = min(limit, int((have + EPSILON) / need)) if have > 0 else 0
+    return max(0, limit)
+
+
 def impossible(run: Run, flavours: dict[str, Flavour], teams: dict[str, Team]) -> str | None:
     """Say why a job can never run, or None if it can."""
     team = teams.get(run.owner)
@@ -180,6 +190,11 @@
         """How many tasks may be in one zone."""
         return (self.run.pieces + 1) // 2 if self.run.spread else self.run.pieces
 
+    @property
+    def mercy_s(self) -> float:
+        """The time a stopped task is given to save, if it can."""
+        return self.run.flush_s if self.run.savepoint_s > 0 else 0.0
+
     def estimate_s(self) -> float:
         """Estimate a task's run time: the owner's guess, corrected by what was seen."""
         if self.endless:
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -354,11 +354,8 @@
         job.cancelled = True
         self.book.touch(job)
         now = steady_now()
-        for index in list(job.live):
-            machine = self.picture.machines.get(job.live[index])
-            held = machine.holds.get(TaskId(job.id, index)) if machine else None
-            if held is not None:
-                self._stop_hold(held, 0.0, "cancelled", now)
+        for held in self.picture.holds_of(job):
+            self._stop_hold(held, 0.0, "cancelled", now)
         self._write.set()
 
     def _watch_loop(self) -> None:
@@ -439,15 +436,15 @@
             self._write.set()
         if fresh:
             self._inspect(machine, now)
-            self._place.set()
-            if self.book.dirty:
-                self._write.set()
         self.picture.answered(machine, now)
         orders = self._compose(machine, report, fresh, now)
         return ReportAnswer(int(self.picture.token(machine)), orders)
 
     def _inspect(self, machine: Machine, now: Steady) -> None:
-        """Look at what a machine reports for tasks that must go."""
+        """See to what a machine's news bring: tasks that must go, room, finishes to write."""
+        self._place.set()
+        if self.book.dirty:
+            self._write.set()
         for held in list(machine.holds.values()):
             if held.phase == PLANNED:
                 if machine.warning_s is not None:
@@ -458,7 +455,7 @@
                 self._stop_hold(held, 0.0, "unwanted", now)
             elif machine.warning_s is not None:
                 self._drain(held, machine, now)
-        if machine.faults and len(machine.faults) >= 2 and not machine.quarantined:
+        if len(machine.faults) >= 2 and not machine.quarantined:
             self._quarantine(machine)
 
     def _quarantine(self, machine: Machine) -> None:
@@ -479,7 +476,7 @@
             remaining = job.estimate_s() - (now - held.ran_from)
             if remaining < 0.7 * left:
                 return
-        self._stop_whole(held, job.run.flush_s if job.run.savepoint_s else 0.0, "drain", now)
+        self._stop_whole(held, job.mercy_s, "drain", now)
 
     def _stop_whole(self, held: Hold, mercy_s: float, why: str, now: Steady) -> None:
         """Stop a task; of a gang all of them, since an orderly stop needs every one told."""
@@ -487,11 +484,8 @@
         if job is None or not job.gang or job.run.pieces == 1:
             self._stop_hold(held, mercy_s, why, now)
             return
-        for index, name in list(job.live.items()):
-            machine = self.picture.machines.get(name)
-            mate = machine.holds.get(TaskId(job.id, index)) if machine else None
-            if mate is not None:
-                self._stop_hold(mate, mercy_s, why, now)
+        for mate in self.picture.holds_of(job):
+            self._stop_hold(mate, mercy_s, why, now)
 
     def _stop_hold(self, held: Hold, mercy_s: float, why: str, now: Steady) -> None:
         machine = held.machine
@@ -509,7 +503,7 @@
             self._send_soon(machine)
 
     def _compose(self, machine: Machine, report: Report, fresh: bool, now: Steady) -> list[Order]:
-        orders = [*self._clears(machine), *self.stops.orders(machine.id, now)][:ORDERS_MAX]
+        orders = self._standing_orders(machine, now)
         if not fresh or not machine.handshaken or not machine.recorded:
             return orders
         if machine.warning_s is not None or machine.leaving or not self.may_start():
@@ -525,6 +519,10 @@
             orders.append(Order("start", str(held.task), int(held.attempt)))
         return orders
 
+    def _standing_orders(self, machine: Machine, now: Steady) -> list[Order]:
+        """Give the commands that may be repeated and may come late: clears and halts."""
+        return [*self._clears(machine), *self.stops.orders(machine.id, now)][:ORDERS_MAX]
+
     def _clears(self, machine: Machine) -> list[Order]:
         """Clear what has ended; a finish only after it is written."""
         orders = []
@@ -551,7 +549,7 @@
             now = steady_now()
             if not self.authority.may_answer(now):
                 return
-            orders = [*self._clears(machine), *self.stops.orders(machine.id, now)][:ORDERS_MAX]
+            orders = self._standing_orders(machine, now)
             tenure = max(1, machine.version.tenure)
             for _ in range(2):
                 token = self.picture.token(machine)
@@ -564,9 +562,6 @@
                 now = steady_now()
                 if self.picture.absorb(machine, report, now, as_report=False):
                     self._inspect(machine, now)
-                    self._place.set()
-                    if self.book.dirty:
-                        self._write.set()
                 if report.tenure == tenure:
                     return
                 tenure = report.tenure  # the session had changed: nothing was executed
@@ -655,9 +650,7 @@
         for name in planned:
             self._nudge(self.picture.machines[name], now)
         for held in plan.stops:
-            job = held.job
-            mercy = job.run.flush_s if job is not None and job.run.savepoint_s else 0.0
-            self._stop_hold(held, mercy, "preempted", now)
+            self._stop_hold(held, held.job.mercy_s if held.job else 0.0, "preempted", now)
         self._short = plan.short
 
     def _ordered(self, jobs: list[Job]) -> list[Job]:
@@ -721,12 +714,7 @@
         Before the gang has started, a replacement with the same attempt completes it. Once it
         ran, the attempt is lost: what is left must be gone before the next attempt.
         """
-        holds = []
-        for index, name in job.live.items():
-            machine = self.picture.machines.get(name)
-            held = machine.holds.get(TaskId(job.id, index)) if machine else None
-            if held is not None:
-                holds.append(held)
+        holds = self.picture.holds_of(job)
         attempts = {held.attempt for held in holds}
         waiting = all(
             held.phase not in (RUNNING, SAVING)
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -17,7 +17,6 @@
     DRIFT,
     NEVER_HEARD,
     Attempt,
-    FlavourName,
     MachineId,
     ReportVersion,
     Steady,
@@ -107,7 +106,6 @@
         "cards",
         "ended",
         "faults",
-        "first_seen_at",
         "flavour",
         "handshaken",
         "heard_at",
@@ -148,7 +146,6 @@
         self.heard_at: Steady | None = None
         self.may_hold_until: Steady | None = None
         """Until then its lease may run. None: the worker was never answered by anybody."""
-        self.first_seen_at = now
         self.rented_at = now
         self.idle_since = now
         self.warning_s: float | None = None
@@ -169,11 +166,6 @@
         self.cards = flavour.cards
         self.mem_gb = flavour.mem_gb
 
-    @property
-    def flavour_name(self) -> FlavourName:
-        """Name the machine's type."""
-        return FlavourName(self.flavour.sku)
-
     def usable(self) -> bool:
         """Tell whether new tasks may be planned for it."""
         return (
@@ -296,6 +288,16 @@
             held.witnessed = True
         held.phase = phase
 
+    def holds_of(self, job: Job) -> list[Hold]:
+        """List a job's task attempts, on whatever machines they are."""
+        found = []
+        for index, name in job.live.items():
+            machine = self.machines.get(name)
+            held = machine.holds.get(TaskId(job.id, index)) if machine is not None else None
+            if held is not None:
+                found.append(held)
+        return found
+
     # -- machines ---------------------------------------------------------------------------
 
     def add(
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -14,13 +14,12 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
-from .jobs import Job
+from .jobs import EPSILON, Job, count_fitting
 from .picture import COLD, SAVING, WARM, Hold, Machine
 from .settings import Team
 from .units import MachineId, Steady, TeamName, Zone
 from .wire import RANKS, Run
 
-EPSILON = 1e-6
 COLD_DELAY = 0.5
 """How long a job waits for a machine with its image, as a part of the fetch time."""
 COLD_DELAY_MAX_S = 20.0
@@ -115,12 +114,7 @@
             vcpus += self.dying_vcpus
             cards += self.dying_cards
             mem += self.dying_mem
-        for need, have in ((run.vcpus, vcpus), (run.cards, cards), (run.mem_gb, mem)):
-            if need > 0:
-                limit = min(limit, int((have + EPSILON) / need)) if have > 0 else 0
-            if limit <= 0:
-                return 0
-        return limit
+        return count_fitting(run, vcpus, cards, mem, limit)
 
     def claim(self, run: Run, count: int) -> None:
         """Take room; it may become negative where room still has to be freed."""
@@ -148,6 +142,11 @@
     )
 
 
+def fetch_s(run: Run, machine: Machine) -> float:
+    """Estimate how long the machine takes to fetch the job's image."""
+    return run.image_gb / max(machine.flavour.fetch_gb_per_s, 1e-3)
+
+
 def strands_cards(run: Run, machine: Machine) -> float:
     """Tell beside how many cards a task without cards would sit."""
     return machine.flavour.cards if run.cards <= 0 else 0.0
@@ -220,10 +219,14 @@
     Judged once, when a job comes. Judged again and again, the oldest jobs of a team that asks for
     far more than its guarantee would always be within it, and late ones would go first.
     """
+    jobs = list(jobs)
+    if all(job.judged for job in jobs):
+        return
     used: dict[str, tuple[float, float]] = {}
     for job in sorted(jobs, key=lambda j: (j.at, j.id)):
         team = teams.get(job.run.owner)
         if job.cancelled or team is None or not (team.cpus or team.gpus):
+            job.judged = True
             continue
         left = job.run.pieces - job.done_count
         vcpus, cards = used.get(team.name, (0.0, 0.0))
@@ -389,11 +392,10 @@
         run = job.run
         if job.gang or not any(room.machine.warmth(run.bundle) < COLD for room in rooms):
             return True
-        slowest = min((r.machine.flavour.fetch_gb_per_s for r in rooms), default=1.0)
-        fetch_s = run.image_gb / max(slowest, 1e-3)
+        longest = max(fetch_s(run, room.machine) for room in rooms)
         if job.wanting_since is None:
             job.wanting_since = self._now
-        return self._now - job.wanting_since >= min(COLD_DELAY * fetch_s, COLD_DELAY_MAX_S)
+        return self._now - job.wanting_since >= min(COLD_DELAY * longest, COLD_DELAY_MAX_S)
 
     def _seed_limit(self, job: Job, room: Room) -> int:
         """Bound the tasks that wait for one long fetch: one is enough to make the machine warm.
@@ -407,13 +409,20 @@
         warmth = room.machine.warmth(run.bundle)
         if job.gang or warmth == WARM:
             return run.pieces
-        fetch_s = run.image_gb / max(room.machine.flavour.fetch_gb_per_s, 1e-3)
-        if fetch_s <= SEED_S:
+        if fetch_s(run, room.machine) <= SEED_S:
             return run.pieces
         if warmth == COLD and run.bundle not in room.seeded:
             return 1
         return 0
 
+    def _limit(self, job: Job, room: Room, left: int, chosen: dict[Zone, int]) -> int:
+        """Tell how many tasks may go here, room aside, given those chosen so far by zone."""
+        most = min(left, self._seed_limit(job, room))
+        if job.run.spread:
+            site = room.machine.site
+            most = min(most, job.zone_max - self._zones[site] - chosen.get(site, 0))
+        return most
+
     def _commit(self, job: Job, parts: list[tuple[Room, int]]) -> None:
         for room, count in parts:
             room.claim(job.run, count)
@@ -464,9 +473,7 @@
                 site = room.machine.site
                 if only is not None and site != only:
                     continue
-                most = min(left, self._seed_limit(job, room))
-                if run.spread:
-                    most = min(most, job.zone_max - self._zones[site] - by_zone.get(site, 0))
+                most = self._limit(job, room, left, by_zone)
                 count = room.count(run, most, with_dying, self._leave_on(room)) if most > 0 else 0
                 if count > 0:
                     parts.append((room, count))
@@ -537,9 +544,7 @@
             site = room.machine.site
             if only is not None and site != only:
                 continue
-            most = min(left, self._seed_limit(job, room))
-            if run.spread:
-                most = min(most, job.zone_max - self._zones[site] - sites.get(site, 0))
+            most = self._limit(job, room, left, sites)
             chosen, count = self._free_up(room, run, victims, most, self._leave_on(room))
             if count > 0:
                 got.append((room, chosen, count))
@@ -574,15 +579,10 @@
             cards += other.run.cards
             mem += other.run.mem_gb
             chosen.append(held)
-            fit = most
             kept = max(cards, 0.0)
-            for need, have in (
-                (run.vcpus, vcpus - kept * leave.vcpus),
-                (run.cards, cards),
-                (run.mem_gb, mem - kept * leave.mem_gb),
-            ):
-                if need > 0:
-                    fit = min(fit, int((have + EPSILON) / need)) if have > 0 else 0
+            fit = count_fitting(
+                run, vcpus - kept * leave.vcpus, cards, mem - kept * leave.mem_gb, most
+            )
             if fit > count:
                 count = fit
                 useful = len(chosen)
--- a/src/ryewing/queueing.py
+++ b/src/ryewing/queueing.py
@@ -64,9 +64,11 @@
     jobs: Sequence[Job], times: dict[Job, tuple[WallTime, ...]], supply: Supply, now: WallTime
 ) -> list[Job]:
     """Order the jobs of one rank that compete for one resource."""
-    first = [job for job in jobs if starved(job, times[job], now)]
+    first: list[Job] = []
+    rest: list[Job] = []
+    for job in jobs:
+        (first if starved(job, times[job], now) else rest).append(job)
     first.sort(key=lambda job: (job.at, job.id))
-    rest = [job for job in jobs if job not in set(first)]
     total = max(supply.total, 1e-3)
     done: list[Job] = []
     load = 0.0
