--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -111,6 +111,24 @@
             self.exchange(worker)
         assert self.leader._ready_to_place()
 
+    def ready_worker(self) -> FakeWorker:
+        """A worker to which tasks may be given."""
+        worker = self.worker()
+        self.ready(worker)
+        return worker
+
+    def begin(self, worker: FakeWorker, *names: str, **changes: Any) -> JobId:
+        """Accept a job and let the worker fetch its starts."""
+        job = self.accept(*names, **changes)
+        self.place()
+        self.exchange(worker)
+        return job
+
+    def end(self, worker: FakeWorker) -> None:
+        """Finish everything on a worker, and report it."""
+        worker.finish()
+        self.exchange(worker)
+
     def place(self) -> None:
         assert self.leader._ready_to_place()
         self.leader._pass()
@@ -139,8 +157,7 @@
 
 
 def test_the_whole_way_of_an_array(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
+    worker = stage.ready_worker()
     job = stage.accept()
     stage.place()
     assert len(starts(stage.exchange(worker))) == 4
@@ -190,8 +207,7 @@
 def test_workers_are_answered_for_the_hold_only(
     stage: Stage, seconds: float, answered: bool
 ) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
+    worker = stage.ready_worker()
     stage.later(seconds, renewed=False)
     assert (stage.leader.on_report(worker.report()) is not None) is answered
 
@@ -204,8 +220,7 @@
 
 
 def test_only_a_later_report_settles_an_assumed_start(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
+    worker = stage.ready_worker()
     stage.accept(pieces=1)
     stage.place()
     answer = stage.leader.on_report(worker.report())  # this answer is lost on its way
@@ -220,8 +235,7 @@
 
 
 def test_a_nudge_raises_the_token_and_every_later_answer_carries_it(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
+    worker = stage.ready_worker()
     asked: list[str] = []
     stage.leader._send_soon = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
     stage.accept(pieces=2)
@@ -241,8 +255,7 @@
 
 def test_a_new_session_seen_in_an_orders_body_voids_an_assumed_start(stage: Stage) -> None:
     """The worker drops responses to reports of an earlier session."""
-    worker = stage.worker()
-    stage.ready(worker)
+    worker = stage.ready_worker()
     stage.accept(pieces=1)
     stage.place()
     assert stage.leader.on_report(worker.report()) is not None  # lost on its way
@@ -252,8 +265,7 @@
 
 
 def test_a_late_report_is_answered_without_starts(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
+    worker = stage.ready_worker()
     late = worker.report()
     stage.exchange(worker)
     stage.accept(pieces=1)
@@ -264,11 +276,8 @@
 
 
 def test_a_new_session_has_forgotten_everything(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
-    stage.accept(pieces=1)
-    stage.place()
-    stage.exchange(worker)
+    worker = stage.ready_worker()
+    stage.begin(worker, pieces=1)
     stage.exchange(worker)
     assert list(stage.holds().values()) == [RUNNING]
     worker.tenure += 1
@@ -279,11 +288,8 @@
 
 
 def test_attempts_are_never_repeated_after_a_takeover(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
-    stage.accept(pieces=1)
-    stage.place()
-    stage.exchange(worker)
+    worker = stage.ready_worker()
+    stage.begin(worker, pieces=1)
     [(_, first)] = worker.pieces
     stage.new_leader(6)
     worker.pieces.clear()
@@ -295,11 +301,8 @@
 
 
 def test_a_successor_rebuilds_from_reports(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
-    job = stage.accept(pieces=3)
-    stage.place()
-    stage.exchange(worker)
+    worker = stage.ready_worker()
+    job = stage.begin(worker, pieces=3)
     stage.exchange(worker)
     stage.new_leader(6)
     assert not stage.leader._ready_to_place()  # a recorded machine has not been heard
@@ -362,14 +365,10 @@
 
 
 def test_a_late_transaction_of_an_earlier_term_dies(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
-    job = stage.accept(pieces=1)
-    stage.place()
-    stage.exchange(worker)
+    worker = stage.ready_worker()
+    job = stage.begin(worker, pieces=1)
     old = stage.leader
-    worker.finish()
-    stage.exchange(worker)
+    stage.end(worker)
     stage.new_leader(6)
     old._write_once()
     assert stage.store.get(final_key(job)) is None
@@ -378,13 +377,9 @@
 
 @pytest.mark.parametrize("cancel_first", [True, False])
 def test_cancel_and_done_cannot_both_win(stage: Stage, cancel_first: bool) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
-    job = stage.accept(pieces=1)
-    stage.place()
-    stage.exchange(worker)
-    worker.finish()
-    stage.exchange(worker)
+    worker = stage.ready_worker()
+    job = stage.begin(worker, pieces=1)
+    stage.end(worker)
     entry = stage.store.get(live_key(job))
     assert entry is not None
     record = msgspec.json.decode(entry.data, type=JobRecord)
@@ -401,13 +396,9 @@
 
 
 def test_a_lost_answer_to_the_final_write_is_found_out(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
-    job = stage.accept(pieces=1)
-    stage.place()
-    stage.exchange(worker)
-    worker.finish()
-    stage.exchange(worker)
+    worker = stage.ready_worker()
+    job = stage.begin(worker, pieces=1)
+    stage.end(worker)
     stage.store.lose_answers = True
     with pytest.raises(StoreDown):
         stage.leader._write_once()
@@ -426,11 +417,8 @@
 
 
 def test_a_cancel_halts_and_never_starts_again(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
-    job = stage.accept(pieces=12)
-    stage.place()
-    stage.exchange(worker)
+    worker = stage.ready_worker()
+    job = stage.begin(worker, pieces=12)
     assert stage.leader.take_cancel(job)
     entry = stage.store.get(live_key(job))
     assert entry is not None
@@ -522,14 +510,10 @@
 
 
 def test_a_job_is_refilled_only_after_its_finishes_are_written(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
-    stage.accept(pieces=12)
-    stage.place()
-    stage.exchange(worker)
-    stage.exchange(worker)
-    worker.finish()
+    worker = stage.ready_worker()
+    stage.begin(worker, pieces=12)
     stage.exchange(worker)
+    stage.end(worker)
     stage.place()
     assert stage.holds() == {}
     stage.write()
@@ -538,13 +522,9 @@
 
 
 def test_finished_tasks_are_not_run_again_by_a_successor(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
-    job = stage.accept(pieces=12)
-    stage.place()
-    stage.exchange(worker)
-    worker.finish()
-    stage.exchange(worker)
+    worker = stage.ready_worker()
+    job = stage.begin(worker, pieces=12)
+    stage.end(worker)
     stage.write()
     stage.new_leader(6)
     found = stage.leader.book.get(job)
@@ -622,8 +602,7 @@
 
 def test_a_failed_release_leaves_the_machine_in_use(stage: Stage) -> None:
     """Found on a quiet day: refused for the cloud's rate, machines were left out for good."""
-    worker = stage.worker()
-    stage.ready(worker)
+    worker = stage.ready_worker()
     machine = stage.leader.picture.machines[MachineId(worker.name)]
 
     def refused(_machines: Any) -> None:
@@ -690,12 +669,9 @@
 
 
 def test_a_machine_that_fails_several_jobs_is_set_aside(stage: Stage) -> None:
-    worker = stage.worker()
-    stage.ready(worker)
+    worker = stage.ready_worker()
     for n in (1, 2):
-        stage.accept(f"run-{n}", pieces=1)
-    stage.place()
-    stage.exchange(worker)
+        stage.begin(worker, f"run-{n}", pieces=1)
     stage.exchange(worker)
     worker.finish("error")
     stage.exchange(worker)
