--- /dev/null
+++ b/src/ryewing/dispatch.py
@@ -0,0 +1,252 @@
+"""What passes between the leader and the workers: reports, answers, direct commands.
+
+Starts ride only in the answers to reports. Halts and clears ride there too, and are sent directly
+when that brings them sooner.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from gevent.lock import BoundedSemaphore
+from gevent.pool import Group
+
+from .picture import PLANNED, RUNNING, SAVING, SENT, Hold, Machine
+from .term import TermContext
+from .units import (
+    NUDGES_MAX,
+    MachineId,
+    ReportVersion,
+    Steady,
+    Zone,
+    steady_now,
+    term_of,
+)
+from .wire import Order, Report, ReportAnswer
+from .workers import Workers, WorkerSilent
+from .writer import Writer
+
+log = logging.getLogger("ryewing.dispatch")
+
+ORDERS_MAX = 500
+"""Commands in one response: keeps its line within 64 KiB."""
+SENDS_AT_ONCE = 24
+NUDGE_EVERY = 0.51
+"""Leases between two nudges of a worker: it heeds one in half a lease."""
+NUDGE_WITHIN = 0.7
+"""Report intervals since the last report after which no nudge is worth it."""
+PROBE_AFTER = 1.6
+"""Report intervals after which a silent machine is asked directly."""
+
+
+class Dispatch:
+    """Owns the exchanges with workers that are under way."""
+
+    def __init__(self, ctx: TermContext, writer: Writer) -> None:
+        self.ctx = ctx
+        self.writer = writer
+        self.workers = Workers()
+        # Not a bounded pool: its spawn waits when it is full, and a decision under way must not
+        # be interrupted.
+        self._senders = Group()
+        self._send_slots = BoundedSemaphore(SENDS_AT_ONCE)
+        self._sending: set[MachineId] = set()
+
+    def stop(self) -> None:
+        """End the exchanges under way."""
+        self._senders.kill(block=False)
+
+    def on_report(self, report: Report) -> ReportAnswer | None:
+        """Answer a worker, or None if this node must not answer 200 now."""
+        now = steady_now()
+        if term_of(report.mandate) > self.ctx.term:
+            # A worker has seen a later leader: a 200 from here would be dropped, and would
+            # keep the worker here while its lease expires.
+            self.ctx.lose("overruled")
+            return None
+        if (
+            self.ctx.stopped
+            or not self.ctx.loaded.is_set()
+            or not self.ctx.authority.may_answer(now)
+        ):
+            return None
+        name = MachineId(report.host)
+        if name in self.ctx.released:
+            return None
+        machine = self.ctx.picture.machines.get(name)
+        if machine is None:
+            machine = self.ctx.picture.add(
+                name, self.ctx.flavour(report.flavour), Zone(report.site), report.loaner, now
+            )
+            log.info("event=unexpected-machine machine=%s flavour=%s", name, report.flavour)
+        new_addr = bool(report.addr) and machine.addr != report.addr
+        fresh = self.ctx.picture.absorb(machine, report, now, as_report=True)
+        if not machine.recorded or new_addr:
+            self.writer.to_record.add(name)
+            self.ctx.write.set()
+        if fresh:
+            self._inspect(machine, now)
+        self.ctx.picture.answered(machine, now)
+        orders = self._compose(machine, report, fresh, now)
+        return ReportAnswer(int(self.ctx.picture.token(machine)), orders)
+
+    def _inspect(self, machine: Machine, now: Steady) -> None:
+        """See to what a machine's news bring: tasks that must go, room, finishes to write."""
+        self.ctx.place.set()
+        if self.ctx.book.dirty:
+            self.ctx.write.set()
+        for held in list(machine.holds.values()):
+            if held.phase == PLANNED:
+                if machine.warning_s is not None:
+                    self.ctx.picture.drop(held, now)
+                continue
+            job = held.job
+            if job is None or job.cancelled:
+                self.stop_hold(held, 0.0, "unwanted", now)
+            elif machine.warning_s is not None:
+                self._drain(held, machine, now)
+        if len(machine.faults) >= 2 and not machine.quarantined:
+            self._quarantine(machine)
+
+    def _quarantine(self, machine: Machine) -> None:
+        """Set a machine aside that failed tasks of several jobs; never many at once."""
+        aside = sum(m.quarantined for m in self.ctx.picture.machines.values())
+        if aside >= max(1, len(self.ctx.picture.machines) // 8):
+            return
+        machine.quarantined = True
+        log.info("event=quarantined machine=%s jobs=%s", machine.id, ",".join(machine.faults))
+
+    def _drain(self, held: Hold, machine: Machine, now: Steady) -> None:
+        """Save in time before the cloud takes the machine, or let short tasks finish."""
+        job = held.job
+        if job is None or held.phase == SAVING:
+            return
+        left = (machine.warning_s or 0.0) - (now - machine.warned_at)
+        if held.phase == RUNNING and held.ran_from is not None:
+            remaining = job.estimate_s() - (now - held.ran_from)
+            if remaining < 0.7 * left:
+                return
+        self._stop_whole(held, job.mercy_s, "drain", now)
+
+    def _stop_whole(self, held: Hold, mercy_s: float, why: str, now: Steady) -> None:
+        """Stop a task; of a gang all of them, since an orderly stop needs every one told."""
+        job = held.job
+        if job is None or not job.gang or job.run.pieces == 1:
+            self.stop_hold(held, mercy_s, why, now)
+            return
+        for mate in self.ctx.picture.holds_of(job):
+            self.stop_hold(mate, mercy_s, why, now)
+
+    def stop_hold(self, held: Hold, mercy_s: float, why: str, now: Steady) -> None:
+        """Stop one task attempt: forget it if nothing was sent, else by a tombstone."""
+        machine = held.machine
+        if held.phase == PLANNED:
+            self.ctx.picture.drop(held, now)
+            return
+        if self.ctx.stops.add(machine.id, held.task, held.attempt, mercy_s, why, now):
+            log.info(
+                "event=stop task=%s machine=%s mercy_s=%g why=%s",
+                held.task,
+                machine.id,
+                mercy_s,
+                why,
+            )
+            self.send_soon(machine)
+
+    def _compose(self, machine: Machine, report: Report, fresh: bool, now: Steady) -> list[Order]:
+        orders = self._standing_orders(machine, now)
+        if not fresh or not machine.handshaken or not machine.recorded:
+            return orders
+        if machine.warning_s is not None or machine.leaving or not self.ctx.may_start():
+            return orders
+        version = ReportVersion(report.tenure, report.tick)
+        for held in machine.holds.values():
+            if held.phase != PLANNED or len(orders) >= ORDERS_MAX:
+                continue
+            if held.job is None or held.job.cancelled:
+                continue
+            held.phase = SENT
+            held.sent_after = version
+            orders.append(Order("start", str(held.task), int(held.attempt)))
+        return orders
+
+    def _standing_orders(self, machine: Machine, now: Steady) -> list[Order]:
+        """Give the commands that may be repeated and may come late: clears and halts."""
+        return [*self._clears(machine), *self.ctx.stops.orders(machine.id, now)][:ORDERS_MAX]
+
+    def _clears(self, machine: Machine) -> list[Order]:
+        """Clear what has ended; a finish only after it is written."""
+        orders = []
+        for ended in machine.ended:
+            if ended.done:
+                job = self.ctx.book.get(ended.task.job)
+                if job is not None and ended.task.number in job.unwritten:
+                    continue
+            orders.append(Order("clear", str(ended.task), int(ended.attempt)))
+        return orders
+
+    def send_soon(self, machine: Machine) -> None:
+        """Send halts and clears directly; with nothing to send it is a handshake."""
+        if machine.addr and machine.id not in self._sending and not self.ctx.stopped:
+            self._sending.add(machine.id)
+            self._senders.spawn(self.send, machine)
+
+    def send(self, machine: Machine) -> None:
+        """Do one direct exchange, when it is this one's turn."""
+        with self._send_slots:
+            self._send_now(machine)
+
+    def _send_now(self, machine: Machine) -> None:
+        try:
+            now = steady_now()
+            if not self.ctx.authority.may_answer(now):
+                return
+            orders = self._standing_orders(machine, now)
+            tenure = max(1, machine.version.tenure)
+            for _ in range(2):
+                token = self.ctx.picture.token(machine)
+                report = self.workers.send(machine.addr, token, tenure, orders)
+                if report.host != machine.id:
+                    return
+                if term_of(report.mandate) > self.ctx.term:
+                    self.ctx.lose("overruled")
+                    return
+                now = steady_now()
+                if self.ctx.picture.absorb(machine, report, now, as_report=False):
+                    self._inspect(machine, now)
+                if report.tenure == tenure:
+                    return
+                tenure = report.tenure  # the session had changed: nothing was executed
+        except WorkerSilent as error:
+            log.debug("event=worker-silent machine=%s error=%s", machine.id, error)
+        finally:
+            self._sending.discard(machine.id)
+
+    def nudge(self, machine: Machine, now: Steady) -> None:
+        """Make a worker report soon, so that its starts need not wait for its next report.
+
+        A worker reports when its token rises, at most once in half a lease. Not while a start is
+        on its way to it: a response with the lower token, overtaken by this, would be dropped.
+        """
+        times = self.ctx.settings.params.workers
+        if machine.heard_at is None or machine.nudges >= NUDGES_MAX:
+            return
+        if machine.nudged_at is not None and now - machine.nudged_at < NUDGE_EVERY * times.lease_s:
+            return
+        if now - machine.heard_at > NUDGE_WITHIN * times.report_s:
+            return  # the next report is due anyway
+        if any(held.phase == SENT for held in machine.holds.values()):
+            return
+        machine.nudged_at = now
+        machine.nudges += 1
+        self.send_soon(machine)
+
+    def probe(self, now: Steady) -> None:
+        """Ask machines directly whose report is late, and those not heard in this term."""
+        late = PROBE_AFTER * self.ctx.settings.params.workers.report_s
+        for machine in list(self.ctx.picture.machines.values()):
+            if machine.may_hold_until is None:
+                continue
+            since = machine.heard_at if machine.heard_at is not None else self.ctx.began
+            if not machine.handshaken or now - since > late:
+                self.send_soon(machine)
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -11,7 +11,7 @@
 from .api import Api, ApiServer, Finals
 from .budget import Budget
 from .jobs import CANCELLED, DONE
-from .leader import CUT, FLAVOURS_KEY, Leader
+from .leader import CUT, Leader
 from .leadership import (
     HOLDER_KEY,
     PREFIX,
@@ -38,6 +38,7 @@
     RelayAsk,
 )
 from .policy import Policy
+from .renter import FLAVOURS_KEY
 from .settings import Settings, parse_address
 from .store import Compacted, Store, StoreDown
 from .transport import Reply
--- /dev/null
+++ b/src/ryewing/placer.py
@@ -0,0 +1,219 @@
+"""When and what to place: from the jobs' shortfalls to planned tasks, in passes.
+
+The decisions themselves are `placement`'s and `queueing`'s; here stands what a pass has to know
+before it may decide, and what its decisions change.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+
+import gevent
+
+from . import placement, queueing
+from .dispatch import Dispatch
+from .jobs import Job, fits_flavour
+from .picture import PLANNED, RUNNING, SAVING, WARM, Machine
+from .term import TermContext
+from .units import Attempt, MachineId, Steady, TaskId, attempt_of, steady_now, wall_now
+
+log = logging.getLogger("ryewing.placer")
+
+PASS_GAP_S = 0.1
+CARDS_HALF_S = 60.0
+
+
+class Placer:
+    """Owns what passes have found: what is short, what cards were wanted."""
+
+    def __init__(self, ctx: TermContext, dispatch: Dispatch) -> None:
+        self.ctx = ctx
+        self.dispatch = dispatch
+        self.gathered = False
+        self.short: list[tuple[Job, int]] = []
+        self._guarantees = any(t.cpus or t.gpus for t in ctx.settings.params.teams)
+        self._rng = random.Random()
+        self._per_card = placement.NO_CARDS
+        self._cards_wanted = 0.0
+        self._cards_seen_at = ctx.began
+        self._attempts = 0
+
+    def place_loop(self) -> None:
+        """Make a pass whenever something has changed, at a bounded share of the time."""
+        while True:
+            self.ctx.place.wait(1.0)
+            self.ctx.place.clear()
+            began = time.perf_counter()
+            if self.ctx.may_start() and self.ready_to_place():
+                self.run_pass()
+            took = time.perf_counter() - began
+            # A pass that takes long is made less often, so that reports are always answered.
+            gevent.sleep(max(PASS_GAP_S, 4 * took))
+
+    def ready_to_place(self) -> bool:
+        """Tell whether the rebuild is over: every machine heard, or waited for long enough."""
+        if self.gathered:
+            return True
+        waited = steady_now() - self.ctx.began
+        if waited < self.ctx.policy.gather_s and any(True for _ in self.ctx.picture.unheard()):
+            return False
+        self.gathered = True
+        unheard = [m.id for m in self.ctx.picture.unheard()]
+        log.info(
+            "event=gathered term=%d waited_s=%.2f unheard=%s",
+            self.ctx.term,
+            waited,
+            ",".join(unheard) or "-",
+        )
+        return True
+
+    def run_pass(self) -> None:
+        """Turn the jobs' shortfalls into planned tasks and stops, once."""
+        now = steady_now()
+        self.ctx.picture.unplan(now, 2 * self.ctx.settings.params.workers.report_s + 2)
+        unheard = list(self.ctx.picture.unheard())
+        if self._guarantees:
+            placement.mark_guarantees(self.ctx.book, self.ctx.teams)
+        jobs = [
+            job
+            for job in (self.ctx.book.jobs[j] for j in self.ctx.book.waiting)
+            if self._placeable(job, unheard, now)
+        ]
+        if not jobs:
+            self.short = []
+            return
+        jobs = self._ordered(jobs)
+        for wanting in jobs:
+            self._per_card = self._per_card.widened(wanting)
+        fresh = now - 2.5 * self.ctx.settings.params.workers.report_s
+        rooms = []
+        for machine in self.ctx.picture.machines.values():
+            if machine.usable() and machine.heard_at is not None and machine.heard_at > fresh:
+                stopping = frozenset(
+                    held
+                    for held in machine.holds.values()
+                    if self.ctx.stops.has(machine.id, held.task, held.attempt)
+                )
+                rooms.append(placement.Room(machine, stopping))
+        quota = placement.Quota(
+            self.ctx.teams,
+            self.ctx.picture.team_vcpus,
+            self.ctx.picture.team_cards,
+            sum(m.flavour.vcpus for m in unheard),
+            sum(m.flavour.cards for m in unheard),
+        )
+        plan = placement.Pass(
+            rooms,
+            quota,
+            now,
+            self._rng,
+            self.ctx.policy.sample,
+            self._per_card,
+            self._cards_to_keep(jobs, now),
+            self._avoid,
+        ).run(jobs)
+        planned: set[MachineId] = set()
+        for batch in plan.batches:
+            self._apply(batch, now)
+            planned.update(machine.id for machine, _count in batch.parts)
+        for name in planned:
+            self.dispatch.nudge(self.ctx.picture.machines[name], now)
+        for held in plan.stops:
+            self.dispatch.stop_hold(held, held.job.mercy_s if held.job else 0.0, "preempted", now)
+        self.short = plan.short
+
+    def _ordered(self, jobs: list[Job]) -> list[Job]:
+        cards, vcpus = queueing.Supply(), queueing.Supply()
+        for machine in self.ctx.picture.machines.values():
+            if machine.usable():
+                cards.total += machine.flavour.cards
+                cards.free += machine.cards
+                vcpus.total += machine.flavour.vcpus
+                vcpus.free += machine.vcpus
+        return queueing.order(jobs, self.ctx.settings.params.objectives, cards, vcpus, wall_now())
+
+    def _cards_to_keep(self, jobs: list[Job], now: Steady) -> float:
+        """Tell how many free cards work without cards must leave usable.
+
+        As many as were lately wanted beyond those in use; the memory of it halves in a minute.
+        """
+        used = sum(self.ctx.picture.team_cards.values())
+        wanted = used + sum(job.shortfall * job.run.cards for job in jobs)
+        elapsed = now - self._cards_seen_at
+        self._cards_seen_at = now
+        faded = self._cards_wanted * 0.5 ** (max(0.0, elapsed) / CARDS_HALF_S)
+        self._cards_wanted = max(wanted, faded)
+        return self._cards_wanted - used
+
+    def _placeable(self, job: Job, unheard: list[Machine], now: Steady) -> bool:
+        if job.cancelled or job.unwritten or now < job.backoff_until:
+            # A job's finished batch is written before the job is refilled.
+            return False
+        if job.inherited and any(
+            placement.allows(job.run, m) and fits_flavour(job.run, m.flavour) for m in unheard
+        ):
+            # Which of its tasks an unheard machine holds can't be known.
+            return False
+        if job.gang and job.live:
+            return self._mend(job, now)
+        return True
+
+    def _mend(self, job: Job, now: Steady) -> bool:
+        """See to a gang with some tasks missing; True if they may be replaced.
+
+        Before the gang has started, a replacement with the same attempt completes it. Once it
+        ran, the attempt is lost: what is left must be gone before the next attempt.
+        """
+        holds = self.ctx.picture.holds_of(job)
+        attempts = {held.attempt for held in holds}
+        waiting = all(
+            held.phase not in (RUNNING, SAVING)
+            and not self.ctx.stops.has(held.machine.id, held.task, held.attempt)
+            for held in holds
+        )
+        if waiting and len(attempts) == 1 and job.done_count == 0:
+            job.gang_attempt = int(attempts.pop())
+            return True
+        if job.done_count == 0:
+            for held in holds:
+                self.dispatch.stop_hold(held, 0.0, "gang-broken", now)
+        return False
+
+    def _avoid(self, job: Job, machine: Machine) -> bool:
+        return machine.id in job.failed_on
+
+    def _next_attempt(self) -> Attempt:
+        self._attempts += 1
+        return attempt_of(self.ctx.term, self._attempts)
+
+    def _apply(self, batch: placement.Batch, now: Steady) -> None:
+        job = batch.job
+        count = sum(n for _machine, n in batch.parts)
+        indices = job.take(count)
+        gang_attempt: Attempt | None = None
+        if job.gang:
+            if job.live and job.gang_attempt is not None:
+                gang_attempt = Attempt(job.gang_attempt)
+            else:
+                gang_attempt = self._next_attempt()
+        cold = sum(n for machine, n in batch.parts if machine.warmth(job.run.bundle) != WARM)
+        at = 0
+        for machine, n in batch.parts:
+            for index in indices[at : at + n]:
+                attempt = gang_attempt or self._next_attempt()
+                self.ctx.picture.hold(machine, TaskId(job.id, index), attempt, PLANNED, now)
+            at += n
+        job.wanting_since = None
+        self.ctx.book.touch(job)
+        log.info(
+            "event=placed job=%s tasks=%d machines=%s cold=%d short=%d guaranteed=%s age_s=%.1f",
+            job.id,
+            len(indices),
+            ",".join(f"{machine.id}:{n}" for machine, n in batch.parts),
+            cold,
+            job.shortfall,
+            job.guaranteed,
+            wall_now() - job.at,
+        )
--- /dev/null
+++ b/src/ryewing/renter.py
@@ -0,0 +1,250 @@
+"""The fleet of one term: machines rented, listed, given up and returned.
+
+Which ones is `fleet`'s decision; here stand the requests, whose names and answers are recorded so
+that nothing is rented twice.
+"""
+
+from __future__ import annotations
+
+import logging
+
+import gevent
+
+from . import fleet
+from .cloud import RELEASE_MAX, RENT_MAX, Cloud, CloudDown, NoCapacity
+from .dispatch import Dispatch
+from .picture import Machine
+from .placer import Placer
+from .settings import parse_address
+from .store import Put, StoreDown
+from .term import TermContext
+from .units import MachineId, Steady, Zone, steady_now
+from .wire import FlavourList, Hire
+from .writer import MACHINE_PREFIX, Writer
+
+log = logging.getLogger("ryewing.renter")
+
+HIRE_PREFIX = "h/"
+FLAVOURS_KEY = "flavours"
+LIST_EVERY_S = 4.0
+FLAVOURS_EVERY_S = 60.0
+LATE_AFTER = 1.3
+"""Report intervals, a little more than the longest one, after which a report is late."""
+
+
+class Renter:
+    """Owns the wishes to rent, and what the cloud was seen not to have."""
+
+    def __init__(
+        self, ctx: TermContext, writer: Writer, dispatch: Dispatch, placer: Placer
+    ) -> None:
+        self.ctx = ctx
+        self.writer = writer
+        self.dispatch = dispatch
+        self.placer = placer
+        self.cloud = Cloud(parse_address(ctx.settings.endpoints.cloud), ctx.settings.params.cloud)
+        self.shelf = fleet.Shelf()
+        self.pending_hires: dict[str, Hire] = {}
+        self._hires = 0
+        self._listed_at = Steady(-1e9)
+        self._flavours_at = Steady(-1e9)
+
+    def fleet_loop(self) -> None:
+        """Bring the fleet to what is wanted."""
+        while True:
+            gevent.sleep(0.5)
+            if not self.ctx.may_start():
+                continue
+            try:
+                self._fleet_step()
+            except CloudDown as error:
+                log.debug("event=cloud-down error=%s", error)
+                gevent.sleep(0.5)
+            except StoreDown as error:
+                log.debug("event=fleet-store-down error=%s", error)
+
+    def _fleet_step(self) -> None:
+        now = steady_now()
+        gone = self.to_give_up(now)
+        if gone:
+            self.release(gone)
+        if now - self._flavours_at > FLAVOURS_EVERY_S:
+            self._read_flavours()
+        if now - self._listed_at > LIST_EVERY_S:
+            self._list()
+        for hire in list(self.pending_hires.values()):
+            self.hire(hire)
+        if not self.placer.gathered or not self.ctx.flavours:
+            return
+        returned = fleet.to_return(
+            self.ctx.picture.machines.values(), self.placer.short, self.ctx.policy, steady_now()
+        )
+        if returned:
+            self.release([(machine, "idle") for machine in returned[:RELEASE_MAX]])
+        self.rent()
+
+    def to_give_up(self, now: Steady) -> list[tuple[Machine, str]]:
+        """Machines that are better released than waited for.
+
+        When many fall silent at once the fault may be on our side, and then each is only given
+        up once its lease is over and nothing on it can be lost.
+        """
+        silent: list[Machine] = []
+        result: list[tuple[Machine, str]] = []
+        late = known = 0
+        late_s = LATE_AFTER * self.ctx.settings.params.workers.report_s
+        for machine in self.ctx.picture.machines.values():
+            since = machine.heard_at
+            if since is None:
+                if machine.recorded and machine.may_hold_until is not None:
+                    since = self.ctx.began  # known from an earlier term
+                else:
+                    patience = self.ctx.policy.boot_patience * machine.flavour.ready_s
+                    if now - machine.rented_at > max(patience, 60.0):
+                        result.append((machine, "never-booted"))
+                    continue
+            known += 1
+            late += now - since > late_s
+            if now - since > self.ctx.policy.silence_s:
+                silent.append(machine)
+        # Judged by those that are late by one report, not by those silent for long: when all
+        # fall silent, their last reports lie an interval apart.
+        few = late <= max(2, known // 3)
+        for machine in silent:
+            if few or machine.may_hold_until is None:
+                result.append((machine, "silent"))
+        return result
+
+    def release(self, chosen: list[tuple[Machine, str]]) -> None:
+        """Return machines; once it is confirmed, nothing on them is there any more."""
+        for machine, _why in chosen:
+            machine.leaving = True
+        try:
+            self.cloud.release([machine.id for machine, _why in chosen])
+        except CloudDown:
+            # It may still be carried out late; until then the machine is used as before.
+            for machine, _why in chosen:
+                machine.leaving = False
+            raise
+        now = steady_now()
+        for machine, why in chosen:
+            log.info(
+                "event=released machine=%s flavour=%s spot=%s why=%s tasks=%d",
+                machine.id,
+                machine.flavour.sku,
+                machine.loaner,
+                why,
+                len(machine.holds),
+            )
+            self.ctx.picture.remove(machine, now)
+            if machine.addr:
+                self.dispatch.workers.forget(machine.addr)
+            self.writer.to_record.discard(machine.id)
+            self.ctx.released[machine.id] = None
+            if len(self.ctx.released) > 2000:
+                self.ctx.released.popitem(last=False)
+            self.writer.to_forget[MACHINE_PREFIX + machine.id] = None
+        self.ctx.place.set()
+        self.ctx.write.set()
+
+    def _read_flavours(self) -> None:
+        flavours = self.cloud.flavours()
+        self._flavours_at = steady_now()
+        known = self.ctx.flavours.keys()
+        changed = {f.sku for f in flavours} != known
+        self.ctx.take_flavours(flavours)
+        if changed:
+            self.ctx.store.txn(
+                self.ctx.mandate.fenced(), [Put(FLAVOURS_KEY, FlavourList(flavours))]
+            )
+
+    def _list(self) -> None:
+        now = steady_now()
+        self._listed_at = now
+        failed = []
+        for listed in self.cloud.machines():
+            name = MachineId(listed.ref)
+            if name in self.ctx.released:
+                continue
+            machine = self.ctx.picture.machines.get(name)
+            if machine is None:
+                machine = self.ctx.picture.add(
+                    name, self.ctx.flavour(listed.flavour), Zone(listed.site), listed.loaner, now
+                )
+                machine.rented_at = Steady(now - listed.age_s)
+                log.info("event=listed-machine machine=%s status=%s", name, listed.status)
+            if listed.addr and not machine.addr:
+                machine.addr = listed.addr
+                if machine.recorded and not machine.handshaken:
+                    self.dispatch.send_soon(machine)
+            if listed.status == "failed":
+                failed.append((machine, "failed"))
+        if failed:
+            self.release(failed[:RELEASE_MAX])
+
+    def rent(self) -> None:
+        """Ask for what is short, beyond what is booting."""
+        now = steady_now()
+        booting = [
+            m
+            for m in self.ctx.picture.machines.values()
+            if not m.leaving
+            and not m.holds
+            and not m.quarantined
+            and not m.usable()
+            and m.warning_s is None
+        ]
+        for wish in fleet.wishes(
+            self.placer.short, booting, self.ctx.flavours, self.shelf, self.ctx.policy, now
+        )[:2]:
+            sku, site, spot = wish.options[0]
+            self._hires += 1
+            hire = Hire(
+                f"r-{self.ctx.term}-{self._hires}", sku, site, spot, min(RENT_MAX, wish.count)
+            )
+            # The wish is recorded first: a successor repeats it under the same name and learns
+            # what was rented, instead of renting again.
+            self.pending_hires[hire.hire] = hire
+            result = self.ctx.store.txn(
+                self.ctx.mandate.fenced(), [Put(HIRE_PREFIX + hire.hire, hire)]
+            )
+            if not result.ok:
+                self.ctx.lose("fenced")
+                return
+            self.hire(hire)
+
+    def hire(self, hire: Hire) -> None:
+        """Ask the cloud for one recorded wish, as often as it takes to get an answer."""
+        if not self.ctx.may_start():
+            return
+        option = (hire.flavour, hire.site, hire.loaner)
+        try:
+            names = self.cloud.rent(hire)
+        except NoCapacity:
+            log.info("event=no-capacity flavour=%s site=%s spot=%s", *option)
+            self.shelf.refused(option, steady_now())
+            names = []
+        now = steady_now()
+        if names:
+            if len(names) < hire.how_many:
+                self.shelf.refused(option, now)
+            else:
+                self.shelf.got(option)
+            log.info(
+                "event=rented count=%d asked=%d flavour=%s site=%s spot=%s hire=%s",
+                len(names),
+                hire.how_many,
+                *option,
+                hire.hire,
+            )
+        for name in names:
+            machine = self.ctx.picture.add(
+                name, self.ctx.flavour(hire.flavour), Zone(hire.site), hire.loaner, now
+            )
+            machine.rented_at = now
+            self.writer.to_record.add(name)
+        self.pending_hires.pop(hire.hire, None)
+        # The records of the machines are wanted before the wish is forgotten: writes are made
+        # in this order.
+        self.writer.to_forget[HIRE_PREFIX + hire.hire] = None
+        self.ctx.write.set()
--- /dev/null
+++ b/src/ryewing/term.py
@@ -0,0 +1,84 @@
+"""What the parts of one leader's term share: its settings, clients, picture and signals.
+
+Nothing here decides anything. Each part owns its own state; what stands here is read by several
+of them, and ends with the term.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from gevent.event import Event
+
+from .jobs import Book
+from .leadership import Mandate
+from .picture import Picture
+from .policy import Policy
+from .settings import Settings
+from .stops import Stops
+from .store import Store
+from .units import MachineId, steady_now
+from .wire import Flavour
+
+
+class TermContext:
+    """One term, as its parts see it."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        policy: Policy,
+        store: Store,
+        mandate: Mandate,
+        on_lost: Callable[[str], None],
+        on_flavours: Callable[[dict[str, Flavour]], None],
+    ) -> None:
+        self.settings = settings
+        self.policy = policy
+        self.store = store
+        self.mandate = mandate
+        self.term = mandate.term
+        self.authority = mandate.authority
+        self.book = Book()
+        self.stops = Stops()
+        self.picture = Picture(self.term, settings.params.workers.lease_s, self.book, self.stops)
+        self.flavours: dict[str, Flavour] = {}
+        self.teams = {team.name: team for team in settings.params.teams}
+        self.released: OrderedDict[MachineId, None] = OrderedDict()
+        """Machines that are certainly gone: nothing that comes in their name counts."""
+        self.began = steady_now()
+        self.loaded = Event()
+        self.place = Event()
+        """Something has changed that placing may act on."""
+        self.write = Event()
+        """The store lacks something."""
+        self.stopped = False
+        self._on_lost = on_lost
+        self._on_flavours = on_flavours
+
+    def lose(self, why: str) -> None:
+        """End the term."""
+        if not self.stopped:
+            self._on_lost(why)
+
+    def may_start(self) -> bool:
+        """Tell whether the lease surely holds now."""
+        return not self.stopped and self.authority.may_start(steady_now())
+
+    def flavour(self, name: str) -> Flavour:
+        """Find a machine type; one that isn't known has no room."""
+        return self.flavours.get(name) or Flavour(name, 0.0, 0.0, 0.0, ())
+
+    def take_flavours(self, flavours: list[Flavour]) -> None:
+        """Take up the machine types, and what they change about the machines known."""
+        self.flavours = {flavour.sku: flavour for flavour in flavours}
+        self._on_flavours(self.flavours)
+        for machine in self.picture.machines.values():
+            new = self.flavours.get(machine.flavour.sku)
+            if new is not None:
+                old = machine.flavour
+                machine.vcpus += new.vcpus - old.vcpus
+                machine.cards += new.cards - old.cards
+                machine.mem_gb += new.mem_gb - old.mem_gb
+                machine.flavour = new
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -11,12 +11,14 @@
 
 from ryewing.cloud import CloudDown
 from ryewing.jobs import JobRecord, final_key, live_key
-from ryewing.leader import HIRE_PREFIX, MACHINE_PREFIX, Leader, MachineRecord
+from ryewing.leader import Leader
 from ryewing.leadership import TERM_KEY, Authority, campaign, read_view
 from ryewing.picture import GATHERING, PLANNED, RUNNING, SENT
+from ryewing.renter import HIRE_PREFIX
 from ryewing.store import Put, StoreDown
 from ryewing.units import JobId, MachineId, NodeName, Stamp, Term, Token, token_of
 from ryewing.wire import Order, Report, ReportedPiece
+from ryewing.writer import MACHINE_PREFIX, MachineRecord
 
 
 class DirectWorkers:
@@ -64,26 +66,26 @@
             self.lost.append,
             lambda _flavours: None,
         )
-        leader.cloud = self.cloud  # type: ignore[assignment]
-        leader.workers = DirectWorkers(self.workers)  # type: ignore[assignment]
-        leader._take_flavours(self.cloud.flavours())
-        leader._send_soon = lambda machine: None  # type: ignore[method-assign]
+        leader.renter.cloud = self.cloud  # type: ignore[assignment]
+        leader.dispatch.workers = DirectWorkers(self.workers)  # type: ignore[assignment]
+        leader.ctx.take_flavours(self.cloud.flavours())
+        leader.dispatch.send_soon = lambda machine: None  # type: ignore[method-assign]
         leader._load()
-        leader.loaded.set()
+        leader.ctx.loaded.set()
         self.leader = leader
         return leader
 
     def later(self, seconds: float, renewed: bool = True) -> None:
         self.clock.now += seconds
         if renewed:
-            self.leader.authority.confirm(self.clock())
+            self.leader.ctx.authority.confirm(self.clock())
 
     def accept(self, ref: str = "run-1", **changes: Any) -> JobId:
         record = JobRecord(run(ref, **changes), 0.0)
         result = self.store.txn({}, [Put(live_key(JobId(ref)), record)])
         entry = self.store.get(live_key(JobId(ref)))
         assert entry is not None
-        self.leader._job_set(entry.data, Stamp(result.epoch))
+        self.leader.intake.job_set(entry.data, Stamp(result.epoch))
         return JobId(ref)
 
     def worker(self, name: str = "i-000001", **kind: Any) -> FakeWorker:
@@ -99,7 +101,7 @@
         return answer.orders
 
     def write(self) -> None:
-        while self.leader._write_once():
+        while self.leader.writer.write_once():
             pass
 
     def ready(self, *workers: FakeWorker) -> None:
@@ -109,7 +111,7 @@
         self.write()
         for worker in workers:
             self.exchange(worker)
-        assert self.leader._ready_to_place()
+        assert self.leader.placer.ready_to_place()
 
     def ready_worker(self) -> FakeWorker:
         """A worker to which tasks may be given."""
@@ -130,21 +132,29 @@
         self.exchange(worker)
 
     def place(self) -> None:
-        assert self.leader._ready_to_place()
-        self.leader._pass()
+        assert self.leader.placer.ready_to_place()
+        self.leader.placer.run_pass()
 
     def holds(self, name: str = "i-000001") -> dict[str, str]:
-        machine = self.leader.picture.machines[MachineId(name)]
+        machine = self.leader.ctx.picture.machines[MachineId(name)]
         return {str(task): held.phase for task, held in machine.holds.items()}
 
 
 @pytest.fixture
 def stage(monkeypatch: pytest.MonkeyPatch) -> Iterator[Stage]:
     clock = Clock()
-    monkeypatch.setattr("ryewing.leader.steady_now", clock)
-    monkeypatch.setattr("ryewing.leader.wall_now", lambda: 0.0)
-    monkeypatch.setattr("ryewing.leadership.steady_now", clock)
-    monkeypatch.setattr("ryewing.budget.steady_now", clock)
+    for part in (
+        "budget",
+        "dispatch",
+        "intake",
+        "leader",
+        "leadership",
+        "placer",
+        "renter",
+        "term",
+    ):
+        monkeypatch.setattr(f"ryewing.{part}.steady_now", clock)
+    monkeypatch.setattr("ryewing.placer.wall_now", lambda: 0.0)
     yield Stage(clock)
 
 
@@ -180,7 +190,7 @@
     stage.accept()
     stage.ready(worker)
     stage.place()
-    machine = stage.leader.picture.machines[MachineId(worker.name)]
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
     guards: list[tuple[Callable[[], None], Callable[[], None]]] = [
         (
             lambda: setattr(machine, "handshaken", False),
@@ -225,10 +235,10 @@
     stage.place()
     answer = stage.leader.on_report(worker.report())  # this answer is lost on its way
     assert answer is not None and len(starts(answer.orders)) == 1
-    machine = stage.leader.picture.machines[MachineId(worker.name)]
-    stage.leader._send(machine)  # the body of /orders does not show the task
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
+    stage.leader.dispatch.send(machine)  # the body of /orders does not show the task
     assert list(stage.holds().values()) == [SENT]
-    stage.leader._pass()
+    stage.leader.placer.run_pass()
     assert list(stage.holds().values()) == [SENT]
     assert not starts(stage.exchange(worker))  # a later report: never executed, given up
     assert stage.holds() == {}
@@ -237,12 +247,12 @@
 def test_a_nudge_raises_the_token_and_every_later_answer_carries_it(stage: Stage) -> None:
     worker = stage.ready_worker()
     asked: list[str] = []
-    stage.leader._send_soon = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
+    stage.leader.dispatch.send_soon = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
     stage.accept(pieces=2)
     stage.place()
     assert asked == [worker.name]
-    machine = stage.leader.picture.machines[MachineId(worker.name)]
-    stage.leader._send(machine)
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
+    stage.leader.dispatch.send(machine)
     assert worker.mandate == token_of(Term(5), 1)
     assert len(starts(stage.exchange(worker))) == 2  # a lower token would be dropped
     stage.accept("run-2", pieces=1)
@@ -260,7 +270,7 @@
     stage.place()
     assert stage.leader.on_report(worker.report()) is not None  # lost on its way
     worker.tenure += 1
-    stage.leader._send(stage.leader.picture.machines[MachineId(worker.name)])
+    stage.leader.dispatch.send(stage.leader.ctx.picture.machines[MachineId(worker.name)])
     assert stage.holds() == {}
 
 
@@ -305,13 +315,13 @@
     job = stage.begin(worker, pieces=3)
     stage.exchange(worker)
     stage.new_leader(6)
-    assert not stage.leader._ready_to_place()  # a recorded machine has not been heard
-    machine = stage.leader.picture.machines[MachineId(worker.name)]
-    stage.leader._send(machine)  # the handshake
+    assert not stage.leader.placer.ready_to_place()  # a recorded machine has not been heard
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
+    stage.leader.dispatch.send(machine)  # the handshake
     assert machine.handshaken and worker.mandate == token_of(Term(6))
-    assert stage.leader._ready_to_place()
-    stage.leader._pass()
-    found = stage.leader.book.get(job)
+    assert stage.leader.placer.ready_to_place()
+    stage.leader.placer.run_pass()
+    found = stage.leader.ctx.book.get(job)
     assert found is not None and found.shortfall == 0 and len(stage.holds()) == 3
 
 
@@ -338,13 +348,13 @@
     bound = policy().hold_s + settings().params.workers.lease_s
     stage.later(bound - policy().gather_s - 0.5)
     stage.exchange(heard)
-    stage.leader.picture.expire(stage.clock())
-    stage.leader._pass()
+    stage.leader.ctx.picture.expire(stage.clock())
+    stage.leader.placer.run_pass()
     assert ("run-1/0" in stage.holds("i-000002")) is (free_s is not None)
     stage.later(3.0)
     stage.exchange(heard)
-    stage.leader.picture.expire(stage.clock())  # old hold and one lease are over
-    stage.leader._pass()
+    stage.leader.ctx.picture.expire(stage.clock())  # old hold and one lease are over
+    stage.leader.placer.run_pass()
     assert "run-1/0" in stage.holds("i-000002")
 
 
@@ -357,7 +367,7 @@
     stage.exchange(heard)
     stage.later(policy().silence_s + 1.0)
     stage.exchange(heard)
-    stage.leader._release(stage.leader._to_give_up(stage.clock()))
+    stage.leader.renter.release(stage.leader.renter.to_give_up(stage.clock()))
     assert stage.cloud.released == ["i-000001"]
     stage.place()
     assert stage.holds("i-000002") == {"run-1/0": PLANNED}
@@ -370,7 +380,7 @@
     old = stage.leader
     stage.end(worker)
     stage.new_leader(6)
-    old._write_once()
+    old.writer.write_once()
     assert stage.store.get(final_key(job)) is None
     assert stage.lost == ["fenced"]
 
@@ -401,7 +411,7 @@
     stage.end(worker)
     stage.store.lose_answers = True
     with pytest.raises(StoreDown):
-        stage.leader._write_once()
+        stage.leader.writer.write_once()
     # It may have been applied: only the store can tell a user now.
     assert stage.leader.poll(job) is None
     stage.store.lose_answers = False
@@ -427,7 +437,7 @@
     stage.store.txn({}, [Put(live_key(job), record)])
     entry = stage.store.get(live_key(job))
     assert entry is not None
-    stage.leader._job_set(entry.data, Stamp(entry.stamp))
+    stage.leader.intake.job_set(entry.data, Stamp(entry.stamp))
     assert verbs(stage.exchange(worker)) == ["halt"] * 8
     stage.exchange(worker)
     stage.place()
@@ -465,7 +475,7 @@
     held = {attempt for worker in workers for _, attempt in worker.pieces}
     assert held == attempts
     assert sum(len(worker.pieces) for worker in workers) == 2
-    found = stage.leader.book.get(job)
+    found = stage.leader.ctx.book.get(job)
     assert found is not None and found.shortfall == 0
 
 
@@ -527,7 +537,7 @@
     stage.end(worker)
     stage.write()
     stage.new_leader(6)
-    found = stage.leader.book.get(job)
+    found = stage.leader.ctx.book.get(job)
     assert found is not None and (found.done_count, found.shortfall) == (8, 4)
 
 
@@ -536,18 +546,18 @@
 
 def rent(stage: Stage) -> None:
     stage.place()
-    stage.leader._rent()
+    stage.leader.renter.rent()
 
 
 def test_a_successor_repeats_a_recorded_wish_under_its_name(stage: Stage) -> None:
     stage.accept(pieces=8)
-    stage.leader._hire = lambda hire: None  # type: ignore[method-assign]  # dies before asking
+    stage.leader.renter.hire = lambda hire: None  # type: ignore[method-assign]  # dies before asking
     rent(stage)
     assert len(stage.store.listing(HIRE_PREFIX)[0]) == 1
     assert not stage.cloud.requests
     stage.new_leader(6)
-    for hire in list(stage.leader._pending_hires.values()):
-        stage.leader._hire(hire)
+    for hire in list(stage.leader.renter.pending_hires.values()):
+        stage.leader.renter.hire(hire)
     rent(stage)  # what is booting counts
     assert len(stage.cloud.requests) == 1
     stage.write()
@@ -575,17 +585,17 @@
     with pytest.raises(CloudDown):
         rent(stage)
     stage.cloud.rent = real  # type: ignore[method-assign]
-    [pending] = stage.leader._pending_hires.values()
-    stage.leader._hire(pending)
+    [pending] = stage.leader.renter.pending_hires.values()
+    stage.leader.renter.hire(pending)
     assert [hire.hire for hire in stage.cloud.requests] == [pending.hire]
 
 
 def test_nothing_is_rented_without_the_lease(stage: Stage) -> None:
     stage.accept(pieces=8)
-    rent_wish = stage.leader._pending_hires
+    rent_wish = stage.leader.renter.pending_hires
     stage.place()
     stage.later(3.1, renewed=False)
-    stage.leader._rent()
+    stage.leader.renter.rent()
     assert not stage.cloud.requests
     assert len(rent_wish) == 1  # recorded, to be asked for once the lease is confirmed
 
@@ -596,21 +606,21 @@
     rent(stage)
     stage.write()
     stage.new_leader(6)
-    assert len(stage.leader.picture.machines) == 1
-    assert stage.leader._ready_to_place()
+    assert len(stage.leader.ctx.picture.machines) == 1
+    assert stage.leader.placer.ready_to_place()
 
 
 def test_a_failed_release_leaves_the_machine_in_use(stage: Stage) -> None:
     """Found on a quiet day: refused for the cloud's rate, machines were left out for good."""
     worker = stage.ready_worker()
-    machine = stage.leader.picture.machines[MachineId(worker.name)]
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
 
     def refused(_machines: Any) -> None:
         raise CloudDown("429")
 
     stage.cloud.release = refused  # type: ignore[assignment,method-assign]
     with pytest.raises(CloudDown):
-        stage.leader._release([(machine, "idle")])
+        stage.leader.renter.release([(machine, "idle")])
     assert machine.usable()
 
 
@@ -624,12 +634,12 @@
     stage.later(policy().silence_s + 1.0)
     for worker in workers[silent:]:
         stage.exchange(worker)
-    assert len(stage.leader._to_give_up(stage.clock())) == given_up
+    assert len(stage.leader.renter.to_give_up(stage.clock())) == given_up
     stage.later(settings().params.workers.lease_s)
     for worker in workers[silent:]:
         stage.exchange(worker)
-    stage.leader.picture.expire(stage.clock())
-    assert len(stage.leader._to_give_up(stage.clock())) == silent
+    stage.leader.ctx.picture.expire(stage.clock())
+    assert len(stage.leader.renter.to_give_up(stage.clock())) == silent
 
 
 def test_machines_falling_silent_one_after_another_are_not_released(stage: Stage) -> None:
@@ -640,19 +650,19 @@
         stage.later(0.3)
         stage.exchange(worker)
     stage.later(policy().silence_s - 1.0)  # the first three are silent, the others only late
-    assert stage.leader._to_give_up(stage.clock()) == []
+    assert stage.leader.renter.to_give_up(stage.clock()) == []
 
 
 def test_asking_many_silent_machines_never_waits(stage: Stage) -> None:
     """Found on a day of our own: a full pool of senders interrupted a loop over the machines."""
     workers = [stage.worker(f"i-{n:06d}") for n in range(100)]
     stage.ready(*workers)
-    del stage.leader._send_soon
+    del stage.leader.dispatch.send_soon
     spawned: list[object] = []
-    stage.leader._senders.spawn = lambda *args: spawned.append(args)
+    stage.leader.dispatch._senders.spawn = lambda *args: spawned.append(args)
     stage.later(policy().silence_s)
-    stage.leader._probe(stage.clock())
-    stage.leader._probe(stage.clock())
+    stage.leader.dispatch.probe(stage.clock())
+    stage.leader.dispatch.probe(stage.clock())
     assert len(spawned) == 100  # one each, at once, and none twice
 
 
@@ -675,7 +685,7 @@
     stage.exchange(worker)
     worker.finish("error")
     stage.exchange(worker)
-    assert stage.leader.picture.machines[MachineId(worker.name)].quarantined
+    assert stage.leader.ctx.picture.machines[MachineId(worker.name)].quarantined
 
 
 def test_a_job_that_fails_everywhere_backs_off(stage: Stage) -> None:
@@ -688,7 +698,7 @@
     for worker in workers:
         worker.finish("error")
         stage.exchange(worker)
-    found = stage.leader.book.get(job)
+    found = stage.leader.ctx.book.get(job)
     assert found is not None
     first = found.backoff_s
     assert found.backoff_until > stage.clock() and first >= 2.0
@@ -700,7 +710,7 @@
     stage.exchange(fresh)
     stage.place()
     assert stage.holds(fresh.name)
-    assert not any(m.quarantined for m in stage.leader.picture.machines.values())
+    assert not any(m.quarantined for m in stage.leader.ctx.picture.machines.values())
 
 
 # -- election -----------------------------------------------------------------------------------
