--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -1,8 +1,8 @@
 """Accepted jobs: their records in the store, their finishes, and what is still to be run.
 
-Keys: `j/<id>` holds a live job (with its cancel mark), `d/<id>/<chunk>` the finished tasks of a
-live job, `f/<id>` the small final state, kept for good. A job has either `j/` or `f/`, and it
-moves from one to the other in one transaction on the version of `j/`, so that a cancel and a
+Keys: `j/<id>` holds a live job (with its cancel mark), `d/<n>` the finished tasks of many live
+jobs (`packed`), `f/<id>` the small final state, kept for good. A job has either `j/` or `f/`, and
+it moves from one to the other in one transaction on the version of `j/`, so that a cancel and a
 `done` can't both win.
 """
 
@@ -24,7 +24,7 @@
 DONE_PREFIX = "d/"
 FINAL_PREFIX = "f/"
 CHUNK = 8192
-"""Finished tasks per `d/` record: 1 KiB as bits, well below any `value_kb`."""
+"""Finished tasks per record: 1 KiB as bits, well below any `value_kb`."""
 
 EPSILON = 1e-6
 """Amounts are sums of decimal fractions: so much too little is still enough."""
@@ -57,9 +57,9 @@
     return FINAL_PREFIX + job
 
 
-def done_key(job: JobId, chunk: int) -> str:
+def done_name(job: JobId, chunk: int) -> str:
     """Name a record of finished tasks."""
-    return f"{DONE_PREFIX}{job}/{chunk}"
+    return f"{job}/{chunk}"
 
 
 def fits_flavour(run: Run, flavour: Flavour) -> bool:
@@ -238,7 +238,7 @@
         return chosen
 
     def load_chunk(self, chunk: int, text: str) -> None:
-        """Read a `d/` record back, after a take-over."""
+        """Read a record of finishes back, after a take-over."""
         try:
             bits = base64.b64decode(text, validate=True)
         except (binascii.Error, ValueError):
@@ -256,7 +256,7 @@
         return sorted({index // CHUNK for index in self.unwritten})
 
     def chunk_text(self, chunk: int) -> str:
-        """Give the value for a `d/` record."""
+        """Give a record of finished tasks."""
         start = chunk * CHUNK // 8
         return base64.b64encode(bytes(self._done[start : start + CHUNK // 8])).decode("ascii")
 
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -178,28 +178,33 @@
             self.ctx.book.put(record, Stamp(entry.stamp), inherited=True)
         finished, _ = self.ctx.store.listing(DONE_PREFIX)
         for entry in finished:
-            name, _, chunk = entry.k[len(DONE_PREFIX) :].rpartition("/")
-            job = self.ctx.book.get(JobId(name))
-            if job is None:
-                self.writer.to_forget[entry.k] = None
-            else:
-                job.load_chunk(int(chunk), msgspec.json.decode(entry.data, type=str))
-                self.ctx.book.touch(job)
+            for record_name, bits in self.writer.finishes.load(entry).items():
+                name, _, chunk = record_name.rpartition("/")
+                job = self.ctx.book.get(JobId(name))
+                if job is None:
+                    self.writer.finishes.drop(record_name)
+                else:
+                    job.load_chunk(int(chunk), msgspec.json.decode(bits, type=str))
+                    self.ctx.book.touch(job)
         # Whoever led before may have answered workers until its hold ended, and the last of
         # these answers is good for one lease.
         workers = self.ctx.settings.params.workers
         until = Steady(now + (self.ctx.policy.hold_s + workers.lease_s) * (1 + 2 * DRIFT) + 1.0)
         machines, _ = self.ctx.store.listing(MACHINE_PREFIX)
         for entry in machines:
-            kept = msgspec.json.decode(entry.data, type=MachineRecord)
-            name_ = MachineId(entry.k[len(MACHINE_PREFIX) :])
-            machine = self.ctx.picture.add(
-                name_, self.ctx.flavour(kept.flavour), Zone(kept.site), kept.loaner, now
-            )
-            machine.addr = kept.addr
-            if kept.heard:
-                machine.recorded = True
-                machine.may_hold_until = until
+            for id_, raw in self.writer.machines.load(entry).items():
+                kept = msgspec.json.decode(raw, type=MachineRecord)
+                machine = self.ctx.picture.add(
+                    MachineId(id_),
+                    self.ctx.flavour(kept.flavour),
+                    Zone(kept.site),
+                    kept.loaner,
+                    now,
+                )
+                machine.addr = kept.addr
+                if kept.heard:
+                    machine.recorded = True
+                    machine.may_hold_until = until
         hires, _ = self.ctx.store.listing(HIRE_PREFIX)
         for entry in hires:
             hire = msgspec.json.decode(entry.data, type=Hire)
--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -20,7 +20,7 @@
 from .term import TermContext
 from .units import MachineId, Steady, Zone, steady_now
 from .wire import FlavourList, Hire
-from .writer import MACHINE_PREFIX, Writer
+from .writer import Writer
 
 log = logging.getLogger("ryewing.renter")
 
@@ -143,7 +143,7 @@
             self.ctx.released[machine.id] = None
             if len(self.ctx.released) > 2000:
                 self.ctx.released.popitem(last=False)
-            self.writer.to_forget[MACHINE_PREFIX + machine.id] = None
+            self.writer.machines.drop(machine.id)
         self.ctx.place.set()
         self.ctx.write.set()
 
--- a/src/ryewing/writer.py
+++ b/src/ryewing/writer.py
@@ -8,24 +8,41 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Callable
+from functools import partial
 
 import gevent
 import msgspec
 
 from .budget import Budget
-from .jobs import CANCELLED, CHUNK, DONE, Job, done_key, final_key, live_key
+from .jobs import (
+    CANCELLED,
+    CHUNK,
+    DONE,
+    DONE_PREFIX,
+    LIVE_PREFIX,
+    Job,
+    done_name,
+    final_key,
+    live_key,
+)
+from .packed import Packed
 from .picture import Machine
 from .store import Put, Remove, StoreDown
 from .term import TermContext
-from .units import JobId, MachineId, Stamp
+from .units import Epoch, JobId, MachineId, Stamp
 
 log = logging.getLogger("ryewing.writer")
 
 MACHINE_PREFIX = "m/"
+FORGET_AT_ONCE = 32
+TXN_BYTES = 48 * 1024
+"""What one transaction may carry, below the 64 KiB that the store takes in all."""
+SMALL = 256
+"""What a change of a single small key counts."""
 
 
-class MachineRecord(msgspec.Struct, omit_defaults=True):
-    """The value of `m/<id>`."""
+class MachineRecord(msgspec.Struct):
+    """One machine, in a value of `m/<n>`."""
 
     flavour: str
     site: str
@@ -36,21 +53,25 @@
 
 
 class _Write:
-    """One wanted change of the store, and what to do once it is made."""
+    """One wanted change of the store: on which version, and what follows from it."""
 
-    __slots__ = ("condition", "done", "job", "ops")
+    __slots__ = ("conflict", "done", "key", "ops", "size", "stamp")
 
     def __init__(
         self,
         ops: list[Put | Remove],
-        done: Callable[[], None],
-        condition: tuple[str, Stamp] | None = None,
-        job: Job | None = None,
+        key: str,
+        stamp: Stamp | None,
+        done: Callable[[Epoch], None],
+        conflict: Callable[[], None] | None = None,
+        size: int = SMALL,
     ) -> None:
         self.ops = ops
+        self.key = key
+        self.stamp = stamp
         self.done = done
-        self.condition = condition
-        self.job = job
+        self.conflict = conflict
+        self.size = size
 
 
 class Writer:
@@ -64,6 +85,9 @@
         on_written: Callable[[], None],
     ) -> None:
         self.ctx = ctx
+        value_kb = ctx.settings.params.state.value_kb
+        self.machines = Packed(MACHINE_PREFIX, value_kb)
+        self.finishes = Packed(DONE_PREFIX, value_kb)
         self.to_record: set[MachineId] = set()
         self.to_forget: OrderedDict[str, None] = OrderedDict()
         self.final_pending: set[JobId] = set()
@@ -95,7 +119,7 @@
 
     def _wanted_writes(self) -> list[_Write]:
         """Name what the store lacks, the most urgent first."""
-        writes: list[_Write] = []
+        recorded: dict[int, list[tuple[Machine, bool]]] = {}
         for name in list(self.to_record):
             machine = self.ctx.picture.machines.get(name)
             if machine is None:
@@ -105,41 +129,66 @@
             record = MachineRecord(
                 machine.flavour.sku, machine.site, machine.loaner, machine.addr, heard
             )
-            put = Put(MACHINE_PREFIX + name, record)
-            writes.append(_Write([put], _bind(self._recorded, machine, heard)))
-        finals: list[_Write] = []
-        partial: list[tuple[bool, float, _Write]] = []
+            number = self.machines.put(name, record)
+            recorded.setdefault(number, []).append((machine, heard))
+        for number, machines in recorded.items():
+            if not self.machines.lacks(number):
+                self._recorded(machines)  # the store has them like this already
+        writes = [
+            self._packed(self.machines, number, partial(self._recorded, machines))
+            for number, machines in recorded.items()
+            if self.machines.lacks(number)
+        ]
+        finished: dict[int, list[tuple[Job, set[int]]]] = {}
         for job_id in list(self.ctx.book.dirty):
             job = self.ctx.book.jobs[job_id]
             if job.cancelled:
                 if not job.live and not any(True for _ in self.ctx.picture.unheard()):
-                    finals.append(self._final(job, CANCELLED))
+                    writes.append(self._final(job, CANCELLED))
             elif job.complete:
-                finals.append(self._final(job, DONE))
+                writes.append(self._final(job, DONE))
             else:
                 for chunk in job.dirty_chunks():
-                    put = Put(done_key(job.id, chunk), job.chunk_text(chunk))
+                    number = self.finishes.put(done_name(job.id, chunk), job.chunk_text(chunk))
+                    job.chunks_written.add(chunk)
                     indices = {i for i in job.unwritten if i // CHUNK == chunk}
-                    partial.append(
-                        (
-                            job.shortfall <= 0,
-                            job.at,
-                            _Write([put], _bind(self._chunk_written, job, chunk, indices)),
-                        )
-                    )
-        writes.extend(finals)
-        partial.sort(key=lambda item: item[:2])
-        writes.extend(write for _urgent, _at, write in partial)
-        for key in list(self.to_forget)[:32]:
-            writes.append(_Write([Remove(key)], _bind(self._forgotten, key)))
+                    finished.setdefault(number, []).append((job, indices))
+        writes.extend(
+            self._packed(self.finishes, number, partial(self._finishes_written, jobs))
+            for number, jobs in finished.items()
+        )
+        # What is only to be forgotten comes last.
+        for packed, urgent in ((self.machines, recorded), (self.finishes, finished)):
+            writes.extend(
+                self._packed(packed, number, _nothing)
+                for number in packed.changed()
+                if number not in urgent
+            )
+        for key in list(self.to_forget)[:FORGET_AT_ONCE]:
+            writes.append(_Write([Remove(key)], key, None, self._forget(key)))
         return writes
 
+    def _packed(self, packed: Packed, number: int, done: Callable[[], None]) -> _Write:
+        op, version, size = packed.write(number)
+        key = packed.key(number)
+
+        def written(epoch: Epoch) -> None:
+            packed.written(number, version, Stamp(epoch if isinstance(op, Put) else 0))
+            done()
+
+        def conflict() -> None:
+            entry = self.ctx.store.get(key)
+            packed.found(number, Stamp(entry.stamp if entry is not None else 0))
+
+        return _Write([op], key, packed.stamp(number), written, conflict, size)
+
     def _final(self, job: Job, status: str) -> _Write:
         return _Write(
             [Put(final_key(job.id), {"status": status}), Remove(live_key(job.id))],
-            _bind(self._finalised, job, status),
-            (live_key(job.id), job.stamp),
-            job,
+            live_key(job.id),
+            job.stamp,
+            lambda _epoch: self._finalised(job, status),
+            lambda: self._reconcile(job),
         )
 
     def write_once(self) -> bool:
@@ -150,32 +199,40 @@
         chosen: list[_Write] = []
         conditions: dict[str, Stamp] = {}
         ops: list[Put | Remove] = []
+        size = 0
         for write in wanted:
             if len(ops) + len(write.ops) > self.ctx.settings.params.state.txn_ops:
                 break
+            size += write.size
+            if chosen and size > TXN_BYTES:
+                break
             chosen.append(write)
             ops.extend(write.ops)
-            if write.condition is not None:
-                conditions[write.condition[0]] = write.condition[1]
+            if write.stamp is not None:
+                conditions[write.key] = write.stamp
         if not self._budget.take(len(ops)):
             gevent.sleep(min(1.0, self._budget.wait_s(len(ops))))
             return True
-        final_jobs = [w.job for w in chosen if w.job is not None]
-        self.final_pending.update(job.id for job in final_jobs)
+        finals = {JobId(w.key[len(LIVE_PREFIX) :]) for w in chosen if w.key.startswith(LIVE_PREFIX)}
+        self.final_pending |= finals
         result = self.ctx.store.txn(self.ctx.mandate.fenced(conditions), ops)
         if result.ok:
             for write in chosen:
-                write.done()
+                write.done(result.epoch)
             self._on_written()
         elif self.ctx.mandate.lost_by(result):
             self.ctx.lose("fenced")
             return False
-        for job in final_jobs:
-            if not result.ok and live_key(job.id) in result.failed:
-                self._reconcile(job)
-            self.final_pending.discard(job.id)
+        else:
+            for write in chosen:
+                if write.conflict is not None and write.key in result.failed:
+                    write.conflict()
+        self.final_pending -= finals
         return len(chosen) < len(wanted) or not result.ok
 
+    def _forget(self, key: str) -> Callable[[Epoch], None]:
+        return lambda _epoch: self.to_forget.pop(key, None)
+
     def _reconcile(self, job: Job) -> None:
         """A final write met another version: a cancel won, or an earlier try was applied."""
         entry = self.ctx.store.get(live_key(job.id))
@@ -187,29 +244,27 @@
             status = msgspec.json.decode(final.data, type=dict[str, str])["status"]
             self._finalised(job, status)
 
-    def _recorded(self, machine: Machine, heard: bool) -> None:
-        if heard or machine.heard_at is None:
-            self.to_record.discard(machine.id)
-        machine.recorded = machine.recorded or heard
+    def _recorded(self, machines: list[tuple[Machine, bool]]) -> None:
+        for machine, heard in machines:
+            if heard or machine.heard_at is None:
+                self.to_record.discard(machine.id)
+            machine.recorded = machine.recorded or heard
         self.ctx.place.set()
 
-    def _chunk_written(self, job: Job, chunk: int, indices: set[int]) -> None:
-        job.unwritten -= indices
-        job.chunks_written.add(chunk)
-        self.ctx.book.touch(job)
+    def _finishes_written(self, jobs: list[tuple[Job, set[int]]]) -> None:
+        for job, indices in jobs:
+            job.unwritten -= indices
+            self.ctx.book.touch(job)
         self.ctx.place.set()
 
     def _finalised(self, job: Job, status: str) -> None:
         job.unwritten.clear()
         for chunk in job.chunks_written:
-            self.to_forget[done_key(job.id, chunk)] = None
+            self.finishes.drop(done_name(job.id, chunk))
         self.ctx.book.drop(job)
         self._on_final(job.id, status)
         log.info("event=final job=%s status=%s tasks=%d", job.id, status, job.run.pieces)
 
-    def _forgotten(self, key: str) -> None:
-        self.to_forget.pop(key, None)
-
 
-def _bind(function: Callable[..., None], *args: object) -> Callable[[], None]:
-    return lambda: function(*args)
+def _nothing() -> None:
+    """Nobody waits for this write."""
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -733,7 +733,7 @@
 def test_machine_records_carry_what_a_successor_needs(stage: Stage) -> None:
     worker = stage.worker(loaner=True, site="b")
     stage.ready(worker)
-    entry = stage.store.get(MACHINE_PREFIX + worker.name)
-    assert entry is not None
-    record = msgspec.json.decode(entry.data, type=MachineRecord)
-    assert record == MachineRecord("c32", "b", True, worker.report().addr, True)
+    [entry] = stage.store.listing(MACHINE_PREFIX)[0]
+    records = msgspec.json.decode(entry.data, type=dict[str, MachineRecord])
+    address = worker.report().addr
+    assert records == {worker.name: MachineRecord("c32", "b", True, address, True)}
