--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -73,6 +73,7 @@
         "seeded",
         "stopping",
         "vcpus",
+        "victims",
     )
 
     def __init__(self, machine: Machine, stopping: frozenset[Hold] = frozenset()) -> None:
@@ -81,6 +82,8 @@
         self.cards = machine.cards
         self.mem = machine.mem_gb
         self.stopping: set[Hold] = set(stopping)
+        self.victims: dict[tuple[int, str | None], list[Hold]] = {}
+        """Whom a job of some rank (or a team's guarantee) may stop here, found once a pass."""
         self.seeded: set[str] = set()
         """Images for which this pass has placed a task here."""
         self.dying_vcpus = self.dying_cards = self.dying_mem = 0.0
@@ -99,6 +102,14 @@
         self.stopping.add(held)
         self._add_dying(held)
 
+    def may_fit(self, run: Run) -> bool:
+        """Tell, quickly, whether a task might fit once what is being stopped is gone."""
+        return (
+            self.vcpus + self.dying_vcpus + EPSILON >= run.vcpus
+            and self.mem + self.dying_mem + EPSILON >= run.mem_gb
+            and self.cards + self.dying_cards + EPSILON >= run.cards
+        )
+
     def count(
         self, run: Run, limit: int, with_dying: bool = False, per_card: PerCard = NO_CARDS
     ) -> int:
@@ -211,6 +222,8 @@
         self.stops: list[Hold] = []
         self.short: list[tuple[Job, int]] = []
         """Jobs with tasks for which there is no room, not even room to be freed."""
+        self.looked = 0
+        """Machines looked at one by one: the cost of the pass."""
 
 
 def mark_guarantees(jobs: Iterable[Job], teams: dict[str, Team]) -> None:
@@ -271,6 +284,42 @@
     return job.guaranteed and other.run.owner != job.run.owner and other.rank >= job.rank
 
 
+class Allowed:
+    """The machines that jobs of one kind may use, and what this pass found out about them."""
+
+    __slots__ = ("full", "rooms", "slowest_fetch")
+
+    def __init__(self, rooms: list[Room]) -> None:
+        self.rooms = rooms
+        self.slowest_fetch = min(
+            (room.machine.flavour.fetch_gb_per_s for room in rooms), default=math.inf
+        )
+        self.full: dict[tuple[int, bool, str | None], list[tuple[float, float, float]]] = {}
+        """What, by what a job may stop for it, found not even room to be freed. A pass only takes
+        room, so whatever needs as much need not look."""
+
+    def fetch_s(self, run: Run) -> float:
+        """Estimate how long the slowest of these machines takes to fetch the job's image."""
+        return run.image_gb / max(self.slowest_fetch, 1e-3)
+
+    @staticmethod
+    def _claim(job: Job) -> tuple[int, bool, str | None]:
+        return (job.rank, job.run.cards > 0, job.run.owner if job.guaranteed else None)
+
+    def known_full(self, job: Job) -> bool:
+        """Tell whether a job that needs no more has looked in vain."""
+        run = job.run
+        return any(
+            run.vcpus >= vcpus and run.cards >= cards and run.mem_gb >= mem
+            for vcpus, cards, mem in self.full.get(self._claim(job), ())
+        )
+
+    def note_full(self, job: Job) -> None:
+        """A job has looked in vain, at every machine."""
+        run = job.run
+        self.full.setdefault(self._claim(job), []).append((run.vcpus, run.cards, run.mem_gb))
+
+
 class Pass:
     """One placement pass."""
 
@@ -296,6 +345,15 @@
         self._zones: Counter[Zone] = Counter()
         """Where the tasks of the job at hand are, with those placed in this pass."""
         self._avoid = avoid
+        self._groups: dict[tuple[str, Zone, bool], list[Room]] = {}
+        for room in rooms:
+            machine = room.machine
+            kind = (machine.flavour.sku, machine.site, machine.loaner)
+            self._groups.setdefault(kind, []).append(room)
+        self._allowed: dict[tuple[object, ...], Allowed] = {}
+        self._cut = False
+        """The job at hand was shown a sample only."""
+        self._lowest: int | None = None
         self.plan = Plan()
 
     def _choose_kept(self, cards: float) -> frozenset[MachineId]:
@@ -324,16 +382,38 @@
             self._place(job)
         return self.plan
 
-    def _candidates(self, job: Job) -> list[Room]:
-        rooms = self._rooms
-        if len(rooms) > self._sample:
-            # More machines than a pass can look at: a random sample, another one next pass.
-            rooms = self._rng.sample(rooms, self._sample)
-        return [
-            room
-            for room in rooms
-            if allows(job.run, room.machine) and not self._avoid(job, room.machine)
-        ]
+    def _candidates(self, job: Job) -> Allowed:
+        """Narrow down to the machines that a job may use, asking once a type, zone and kind.
+
+        Narrowed first and sampled after (`_sampled`): in a sample of all machines a gang that
+        needs several whole ones of one type in one zone hardly ever found them.
+        """
+        run = job.run
+        key = (None if run.flavours is None else tuple(run.flavours), run.site, run.loaner)
+        allowed = self._allowed.get(key)
+        if allowed is None:
+            allowed = Allowed(
+                [
+                    room
+                    for members in self._groups.values()
+                    if allows(run, members[0].machine)
+                    for room in members
+                ]
+            )
+            self._allowed[key] = allowed
+        return allowed
+
+    def _sampled(self, job: Job, rooms: list[Room]) -> list[Room]:
+        """Take a random sample of more machines than a pass should look at for one job.
+
+        Another one next pass. A gang needs several machines at once, so it gets all of them.
+        """
+        if job.gang or len(rooms) <= self._sample:
+            self.plan.looked += len(rooms)
+            return rooms
+        self.plan.looked += self._sample
+        self._cut = True
+        return self._rng.sample(rooms, self._sample)
 
     def _place(self, job: Job) -> None:
         wanted = job.shortfall
@@ -343,11 +423,18 @@
         whole = job.gang
         if allowed <= 0 or (whole and allowed < wanted):
             return
-        rooms = self._candidates(job)
-        left = min(wanted, allowed)
+        candidates = self._candidates(job)
+        left = most = min(wanted, allowed)
+        if candidates.known_full(job):
+            self.plan.short.append((job, left))
+            return
+        rooms = candidates.rooms
+        if job.failed_on:
+            rooms = [room for room in rooms if not self._avoid(job, room.machine)]
+        self._cut = False
         self._leave = self._per_card.for_job(job)
         self._zones = Counter(job.zones)
-        if not self._may_go_cold(job, rooms):
+        if not self._may_go_cold(job, rooms, candidates):
             rooms = [room for room in rooms if room.machine.warmth(job.run.bundle) < COLD]
         if job.run.cards <= 0 and job.rank < self._per_card.rank:
             # Important enough to need no reserve: first stop lesser work where there are no or
@@ -358,24 +445,30 @@
                     left -= self._place_in(job, left, few, whole)
         else:
             left -= self._place_in(job, left, rooms, whole)
-        for room in rooms:
-            # Room that waits for its image is as good as placed: nothing is to be rented for it.
-            if left > 0 and not room.machine.faults and self._seed_limit(job, room) == 0:
-                left -= room.count(job.run, left, False, self._leave_on(room))
-        if left > 0:
+        saw_all = len(rooms) == len(candidates.rooms) and not self._cut and not job.gang
+        if left == most and saw_all and not any(room.may_fit(job.run) for room in rooms):
+            candidates.note_full(job)
+        if left > 0 and not job.gang and candidates.fetch_s(job.run) > SEED_S:
+            for room in rooms:
+                # Room that waits for its image is as good as placed: nothing is rented for it.
+                if left > 0 and not room.machine.faults and self._seed_limit(job, room) == 0:
+                    left -= room.count(job.run, left, False, self._leave_on(room))
+        if left > 0 and not self._cut:
             self.plan.short.append((job, left))
 
     def _place_in(self, job: Job, wanted: int, rooms: list[Room], whole: bool) -> int:
         """Place, or find room to be freed, on these machines; return for how many tasks."""
         left = wanted
-        placed = self._fill(job, left, rooms, whole, with_dying=False)
+        run = job.run
+        fitting = self._sampled(job, [room for room in rooms if room.may_fit(run)])
+        placed = self._fill(job, left, fitting, whole, with_dying=False)
         if placed:
             self._commit(job, placed)
             self.plan.batches.append(Batch(job, [(room.machine, count) for room, count in placed]))
             left -= sum(count for _room, count in placed)
         if left <= 0:
             return wanted
-        claimed = self._fill(job, left, rooms, whole, with_dying=True)
+        claimed = self._fill(job, left, fitting, whole, with_dying=True)
         if claimed:
             self._commit(job, claimed)
             left -= sum(count for _room, count in claimed)
@@ -383,7 +476,7 @@
             left -= self._preempt(job, left, rooms, whole)
         return wanted - left
 
-    def _may_go_cold(self, job: Job, rooms: list[Room]) -> bool:
+    def _may_go_cold(self, job: Job, rooms: list[Room], candidates: Allowed) -> bool:
         """Delay scheduling: wait a little for a machine that has the image.
 
         A cold start holds its room for the whole fetch, often longer than the task runs. Gangs
@@ -392,7 +485,7 @@
         run = job.run
         if job.gang or not any(room.machine.warmth(run.bundle) < COLD for room in rooms):
             return True
-        longest = max(fetch_s(run, room.machine) for room in rooms)
+        longest = candidates.fetch_s(run)
         if job.wanting_since is None:
             job.wanting_since = self._now
         return self._now - job.wanting_since >= min(COLD_DELAY * longest, COLD_DELAY_MAX_S)
@@ -465,6 +558,7 @@
         )
         best: list[tuple[Room, int]] = []
         best_count = 0
+        best_cold = 0
         for only in self._zones_for(job, fitting):
             parts: list[tuple[Room, int]] = []
             left = wanted
@@ -481,29 +575,62 @@
                     left -= count
                     if left == 0:
                         break
-            if wanted - left > best_count:
-                best, best_count = parts, wanted - left
-            if left == 0:
+            got = wanted - left
+            cold = sum(n for r, n in parts if r.machine.warmth(run.bundle) == COLD)
+            if got > best_count or (got == best_count and cold < best_cold):
+                best, best_count, best_cold = parts, got, cold
+            if left == 0 and (cold == 0 or not whole):
                 break
         if whole and best_count < wanted:
             return []
         return best
 
+    def _may_stop_any(self, job: Job) -> bool:
+        """Tell whether anything less important runs at all."""
+        if job.guaranteed:
+            return True
+        if self._lowest is None:
+            self._lowest = max(
+                (
+                    held.job.rank
+                    for room in self._rooms
+                    for held in room.machine.holds.values()
+                    if held.job is not None
+                ),
+                default=-1,
+            )
+        return self._lowest > job.rank
+
+    def _victims(self, job: Job, room: Room) -> list[Hold]:
+        """List whom the job may stop on a machine, the least lost first."""
+        key = (job.rank, job.run.owner if job.guaranteed else None)
+        found = room.victims.get(key)
+        if found is None:
+            now = self._now
+            found = [held for held in room.machine.holds.values() if may_preempt(job, held)]
+            found.sort(key=lambda h: (-h.job.rank if h.job else 0, lost_work(h, now)))
+            room.victims[key] = found
+        if found and room.stopping:
+            return [held for held in found if held not in room.stopping]
+        return found
+
     def _preempt(self, job: Job, wanted: int, rooms: list[Room], whole: bool) -> int:
-        """Stop less important work for the job; return for how many tasks room was found."""
+        """Stop less important work for the job; return for how many tasks room was found.
+
+        For a gang the free machines count too: they and the stopped ones make it whole together.
+        """
         run = job.run
+        if not self._may_stop_any(job):
+            return 0
         wanted = min(wanted, PREEMPT_MAX)
         options: list[tuple[float, float, int, Room, list[Hold]]] = []
-        for number, room in enumerate(rooms):
-            victims = [
-                held
-                for held in room.machine.holds.values()
-                if held not in room.stopping and may_preempt(job, held)
-            ]
-            if victims:
-                victims.sort(key=lambda h: (-h.job.rank if h.job else 0, lost_work(h, self._now)))
-                cost = sum(lost_work(h, self._now) for h in victims)
-                options.append((strands_cards(run, room.machine), cost, number, room, victims))
+        usable = [
+            room for room in rooms if self._victims(job, room) or (whole and room.may_fit(run))
+        ]
+        for number, room in enumerate(self._sampled(job, usable)):
+            victims = self._victims(job, room)
+            cost = sum(lost_work(held, self._now) for held in victims)
+            options.append((strands_cards(run, room.machine), cost, number, room, victims))
         options.sort(key=lambda option: option[:3])
         if not options:
             return 0
@@ -561,7 +688,10 @@
         cards = room.cards + room.dying_cards
         mem = room.mem + room.dying_mem
         chosen: list[Hold] = []
-        count = 0
+        kept = max(cards, 0.0)
+        count = count_fitting(
+            run, vcpus - kept * leave.vcpus, cards, mem - kept * leave.mem_gb, most
+        )
         useful = 0
         for held in victims:
             if count >= most:
