--- a/src/ryewing/api.py
+++ b/src/ryewing/api.py
@@ -335,6 +335,8 @@
 class _Handler(WSGIHandler):  # type: ignore[misc]
     """One connection: knows whether it is idle, and refuses large bodies unread."""
 
+    _gathered: bytearray | None = None
+
     def read_requestline(self) -> Any:
         self.server.idle(self)
         line = super().read_requestline()
@@ -347,6 +349,19 @@
             raise _TooLarge
         return result
 
+    def _write_with_headers(self, data: bytes) -> None:
+        """Send head and body in one piece: a packet and a system call less for each answer."""
+        self._gathered = bytearray()
+        super()._write_with_headers(data)
+        gathered, self._gathered = bytes(self._gathered), None
+        self._sendall(gathered)
+
+    def _sendall(self, data: bytes) -> None:
+        if self._gathered is None:
+            super()._sendall(data)
+        else:
+            self._gathered += data
+
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         if isinstance(ex, _TooLarge):
             status, body = _STATUS_LINES[413], b'{"error":"body above 64 KiB"}'
--- a/src/ryewing/dispatch.py
+++ b/src/ryewing/dispatch.py
@@ -11,6 +11,7 @@
 from gevent.lock import BoundedSemaphore
 from gevent.pool import Group
 
+from .budget import Budget
 from .picture import PLANNED, RUNNING, SAVING, SENT, Hold, Machine
 from .term import TermContext
 from .units import (
@@ -33,8 +34,10 @@
 SENDS_AT_ONCE = 24
 NUDGE_EVERY = 0.51
 """Leases between two nudges of a worker: it heeds one in half a lease."""
-NUDGE_WITHIN = 0.7
-"""Report intervals since the last report after which no nudge is worth it."""
+HASTEN_WITHIN = 0.7
+"""Report intervals since the last report after which hastening the next is not worth it."""
+HASTEN_PER_CORE = 60.0
+"""Messages a second and core that only make starts a little sooner: a tenth of the core."""
 PROBE_AFTER = 1.6
 """Report intervals after which a silent machine is asked directly."""
 
@@ -51,6 +54,8 @@
         self._senders = Group()
         self._send_slots = BoundedSemaphore(SENDS_AT_ONCE)
         self._sending: set[MachineId] = set()
+        rate = HASTEN_PER_CORE * ctx.settings.params.resources.core_share
+        self._hasten_budget = Budget(rate, rate)
 
     def stop(self) -> None:
         """End the exchanges under way."""
@@ -177,7 +182,7 @@
     def _clears(self, machine: Machine) -> list[Order]:
         """Clear what has ended; a finish only after it is written."""
         orders = []
-        for ended in machine.ended:
+        for ended in machine.ended.values():
             if ended.done:
                 job = self.ctx.book.get(ended.task.job)
                 if job is not None and ended.task.number in job.unwritten:
@@ -222,25 +227,36 @@
         finally:
             self._sending.discard(machine.id)
 
-    def nudge(self, machine: Machine, now: Steady) -> None:
+    def hasten(self, machine: Machine, now: Steady) -> None:
         """Make a worker report soon, so that its starts need not wait for its next report.
 
-        A worker reports when its token rises, at most once in half a lease. Not while a start is
-        on its way to it: a response with the lower token, overtaken by this, would be dropped.
+        A worker reports when a task is cleared, and when its token rises, though that at most
+        once in half a lease. Only machines with starts to fetch are hastened, and within a rate:
+        a message to every machine after each write took most of a leader's processor time where
+        there were hundreds of them. What else there is to say rides in the answers.
         """
         times = self.ctx.settings.params.workers
-        if machine.heard_at is None or machine.nudges >= NUDGES_MAX:
-            return
-        if machine.nudged_at is not None and now - machine.nudged_at < NUDGE_EVERY * times.lease_s:
-            return
-        if now - machine.heard_at > NUDGE_WITHIN * times.report_s:
+        if machine.heard_at is None or now - machine.heard_at > HASTEN_WITHIN * times.report_s:
             return  # the next report is due anyway
         if any(held.phase == SENT for held in machine.holds.values()):
+            # A response with the lower token, overtaken by this, would be dropped.
+            return
+        clears = bool(machine.ended) and bool(self._clears(machine))
+        if not clears and not self._may_nudge(machine, now):
             return
-        machine.nudged_at = now
-        machine.nudges += 1
+        if not self._hasten_budget.take():
+            return
+        if not clears:
+            machine.nudged_at = now
+            machine.nudges += 1
         self.send_soon(machine)
 
+    def _may_nudge(self, machine: Machine, now: Steady) -> bool:
+        if machine.nudges >= NUDGES_MAX:
+            return False
+        gap = NUDGE_EVERY * self.ctx.settings.params.workers.lease_s
+        return machine.nudged_at is None or now - machine.nudged_at >= gap
+
     def probe(self, now: Steady) -> None:
         """Ask machines directly whose report is late, and those not heard in this term."""
         late = PROBE_AFTER * self.ctx.settings.params.workers.report_s
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -51,7 +51,7 @@
         on_flavours: Callable[[dict[str, Flavour]], None],
     ) -> None:
         self.ctx = TermContext(settings, policy, store, mandate, on_lost, on_flavours)
-        self.writer = Writer(self.ctx, on_final, self._on_record, self._on_written)
+        self.writer = Writer(self.ctx, on_final, self._on_record)
         self.dispatch = Dispatch(self.ctx, self.writer)
         self.intake = Intake(self.ctx, self.writer, self.dispatch)
         self.placer = Placer(self.ctx, self.dispatch)
@@ -85,12 +85,6 @@
     def _on_record(self, data: msgspec.Raw, stamp: Stamp) -> None:
         self.intake.job_set(data, stamp)
 
-    def _on_written(self) -> None:
-        # Clearing at once makes the workers report, and reports are what starts ride on.
-        for machine in self.ctx.picture.machines.values():
-            if machine.ended:
-                self.dispatch.send_soon(machine)
-
     # -- life -------------------------------------------------------------------------------
 
     def start(self) -> None:
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -123,6 +123,7 @@
         "quarantined",
         "recorded",
         "rented_at",
+        "shown",
         "site",
         "vcpus",
         "version",
@@ -157,7 +158,9 @@
         self.leaving = False
         self.quarantined = False
         self.holds: dict[TaskId, Hold] = {}
-        self.ended: list[Ended] = []
+        self.shown: dict[tuple[str, int], ReportedPiece] = {}
+        """Attempts as its newest message showed them: only what differs in the next is news."""
+        self.ended: dict[tuple[str, int], Ended] = {}
         self.images: OrderedDict[str, float] = OrderedDict()
         self.bundles: Counter[str] = Counter()
         """Images of the tasks that are here, so also of those being fetched."""
@@ -320,7 +323,8 @@
         """Nothing that was on the machine is there any more."""
         for held in list(machine.holds.values()):
             self.drop(held, now)
-        machine.ended = []
+        machine.ended.clear()
+        machine.shown.clear()
 
     def answered(self, machine: Machine, now: Steady) -> None:
         """We are about to answer 200: its lease may run from now on."""
@@ -373,6 +377,8 @@
             for held in list(machine.holds.values()):
                 if held.phase != PLANNED:
                     self.drop(held, now)
+            machine.shown.clear()
+            machine.ended.clear()
         machine.version = version
         machine.heard_at = now
         if report.addr:
@@ -380,26 +386,40 @@
         if report.warning_s is not None and machine.warning_s is None:
             machine.warned_at = now
         machine.warning_s = report.warning_s
-        machine.ended = []
-        seen: set[TaskId] = set()
+        self._absorb_pieces(machine, report, now)
+        for held in [h for h in machine.holds.values() if h.phase == SENT]:
+            # Not shown, or it would have another phase. Settled by a later report only.
+            if as_report and held.sent_after is not None and version > held.sent_after:
+                self.drop(held, now)
+        return True
+
+    def _absorb_pieces(self, machine: Machine, report: Report, now: Steady) -> None:
+        """Take in the attempts shown, with work in proportion to what differs from before."""
+        before, shown = machine.shown, {}
+        news: list[ReportedPiece] = []
         for piece in report.pieces:
+            key = (piece.piece, piece.attempt)
+            shown[key] = piece
+            if before.get(key) != piece:
+                news.append(piece)
+        machine.shown = shown
+        # What is gone goes first: an attempt may have come in another's place.
+        gone = before.keys() - shown.keys() if len(before) + len(news) > len(shown) else ()
+        for key in gone:
+            machine.ended.pop(key, None)
+            if before[key].status != ENDED:
+                task = parse_task(key[0])
+                held = machine.holds.get(task) if task is not None else None
+                if held is not None and held.attempt == key[1]:
+                    self.drop(held, now)
+        for piece in news:
             task = parse_task(piece.piece)
             if task is None:
                 continue
             if piece.status == ENDED:
                 self._absorb_ended(machine, task, piece, now)
             elif piece.status in LIVE_PHASES:
-                seen.add(task)
                 self._absorb_live(machine, task, piece, now)
-        for held in list(machine.holds.values()):
-            if held.task in seen or held.phase == PLANNED:
-                continue
-            if held.phase == SENT and not (
-                as_report and held.sent_after is not None and version > held.sent_after
-            ):
-                continue  # still assumed
-            self.drop(held, now)
-        return True
 
     def _absorb_live(
         self, machine: Machine, task: TaskId, piece: ReportedPiece, now: Steady
@@ -425,7 +445,7 @@
     ) -> None:
         attempt = Attempt(piece.attempt)
         done = piece.cause == "done"
-        machine.ended.append(Ended(task, attempt, done))
+        machine.ended[piece.piece, piece.attempt] = Ended(task, attempt, done)
         job = self.book.get(task.job)
         held = machine.holds.get(task)
         known = held is not None and held.attempt == attempt
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -119,7 +119,7 @@
             self._apply(batch, now)
             planned.update(machine.id for machine, _count in batch.parts)
         for name in planned:
-            self.dispatch.nudge(self.ctx.picture.machines[name], now)
+            self.dispatch.hasten(self.ctx.picture.machines[name], now)
         for held in plan.stops:
             self.dispatch.stop_hold(held, held.job.mercy_s if held.job else 0.0, "preempted", now)
         self.short = plan.short
--- a/src/ryewing/transport.py
+++ b/src/ryewing/transport.py
@@ -36,6 +36,17 @@
     def __init__(self, address: Address) -> None:
         super().__init__(address[0], address[1])
         self._address = address
+        self._unsent = b""
+
+    def send(self, data: bytes) -> None:  # type: ignore[override]
+        """Hold head and body back until both are there: a packet and a system call less."""
+        self._unsent += data
+
+    def getresponse(self) -> http.client.HTTPResponse:
+        """Send what was held back, and read the response."""
+        unsent, self._unsent = self._unsent, b""
+        super().send(unsent)
+        return super().getresponse()
 
     def connect(self) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/src/ryewing/writer.py
+++ b/src/ryewing/writer.py
@@ -82,7 +82,6 @@
         ctx: TermContext,
         on_final: Callable[[JobId, str], None],
         on_record: Callable[[msgspec.Raw, Stamp], None],
-        on_written: Callable[[], None],
     ) -> None:
         self.ctx = ctx
         value_kb = ctx.settings.params.state.value_kb
@@ -94,7 +93,6 @@
         """Jobs whose final state may or may not be written: only the store can tell."""
         self._on_final = on_final
         self._on_record = on_record
-        self._on_written = on_written
         # Some of the write rate is left to renewals and to accepting submissions.
         limits = ctx.settings.params.state
         self._budget = Budget(0.65 * limits.write_rps, 0.65 * limits.write_rps)
@@ -219,7 +217,6 @@
         if result.ok:
             for write in chosen:
                 write.done(result.epoch)
-            self._on_written()
         elif self.ctx.mandate.lost_by(result):
             self.ctx.lose("fenced")
             return False
