--- a/src/ryewing/dispatch.py
+++ b/src/ryewing/dispatch.py
@@ -34,6 +34,8 @@
 SENDS_AT_ONCE = 24
 NUDGE_EVERY = 0.51
 """Leases between two nudges of a worker: it heeds one in half a lease."""
+UNWAITED_S = 4.5
+"""A worker waits 4 s for the answer to a report; so long after a newer message none does."""
 HASTEN_WITHIN = 0.7
 """Report intervals since the last report after which hastening the next is not worth it."""
 HASTEN_PER_CORE = 60.0
@@ -86,6 +88,9 @@
             log.info("event=unexpected-machine machine=%s flavour=%s", name, report.flavour)
         new_addr = bool(report.addr) and machine.addr != report.addr
         fresh = self.ctx.picture.absorb(machine, report, now, as_report=True)
+        if not fresh and machine.heard_at is not None and now - machine.heard_at > UNWAITED_S:
+            # A copy of something old: nobody waits for the answer, and no lease is renewed by it.
+            return None
         if not machine.recorded or new_addr:
             self.writer.to_record.add(name)
             self.ctx.write.set()
@@ -160,7 +165,7 @@
 
     def _compose(self, machine: Machine, report: Report, fresh: bool, now: Steady) -> list[Order]:
         orders = self._standing_orders(machine, now)
-        if not fresh or not machine.handshaken or not machine.recorded:
+        if not fresh or not machine.hears or not machine.recorded:
             return orders
         if machine.warning_s is not None or machine.leaving or not self.ctx.may_start():
             return orders
@@ -210,6 +215,7 @@
             tenure = max(1, machine.version.tenure)
             for _ in range(2):
                 token = self.ctx.picture.token(machine)
+                known = machine.version
                 report = self.workers.send(machine.addr, token, tenure, orders)
                 if report.host != machine.id:
                     return
@@ -217,6 +223,8 @@
                     self.ctx.lose("overruled")
                     return
                 now = steady_now()
+                if ReportVersion(report.tenure, report.tick) < known:
+                    self.ctx.picture.restarted(machine, now)
                 if self.ctx.picture.absorb(machine, report, now, as_report=False):
                     self._inspect(machine, now)
                 if report.tenure == tenure:
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -16,6 +16,7 @@
 from .units import (
     DRIFT,
     NEVER_HEARD,
+    NUDGES_MAX,
     Attempt,
     MachineId,
     ReportVersion,
@@ -107,16 +108,18 @@
         "ended",
         "faults",
         "flavour",
-        "handshaken",
         "heard_at",
+        "heeded",
         "holds",
         "id",
         "idle_since",
         "images",
+        "lapsed",
         "leaving",
         "loaner",
         "may_hold_until",
         "mem_gb",
+        "must_heed",
         "nudged_at",
         "nudges",
         "pace",
@@ -125,6 +128,7 @@
         "rented_at",
         "shown",
         "site",
+        "unheeding_since",
         "vcpus",
         "version",
         "warned_at",
@@ -140,8 +144,15 @@
         self.loaner = loaner
         self.addr = ""
         self.version = NEVER_HEARD
-        self.handshaken = False
-        """A message carrying our own term has come: older starts are refused from then on."""
+        self.lapsed = 0
+        """The newest session that is surely over: what is said of it is an old copy."""
+        self.heeded = -1
+        """The highest nudge of our term that its messages have shown; -1: nothing of our term."""
+        self.must_heed = 0
+        """The nudge that it has to show before it gets work: that our answers reach it is seen by
+        nothing else."""
+        self.unheeding_since: Steady | None = None
+        """Since when its messages come although it doesn't hear ours."""
         self.recorded = False
         """The store holds the machine, so that a successor knows that it may have tasks."""
         self.heard_at: Steady | None = None
@@ -169,10 +180,20 @@
         self.cards = flavour.cards
         self.mem_gb = flavour.mem_gb
 
+    @property
+    def handshaken(self) -> bool:
+        """Tell whether a message with our term's token came: it refuses older starts since."""
+        return self.heeded >= 0
+
+    @property
+    def hears(self) -> bool:
+        """Tell whether it was seen to hear us, since there was last reason to doubt it."""
+        return self.heeded >= self.must_heed
+
     def usable(self) -> bool:
         """Tell whether new tasks may be planned for it."""
         return (
-            self.handshaken
+            self.hears
             and self.recorded
             and not self.leaving
             and not self.quarantined
@@ -344,6 +365,7 @@
         for machine in self.machines.values():
             if machine.may_hold_until is not None and now >= machine.may_hold_until:
                 machine.may_hold_until = None
+                machine.lapsed = machine.version.tenure
                 self.clear_out(machine, now)
                 ended.append(machine)
         return ended
@@ -367,9 +389,9 @@
         version = ReportVersion(report.tenure, report.tick)
         if term_of(report.mandate) == self.term:
             # A reading of the token: true whatever the order in which messages come.
-            machine.handshaken = True
-            machine.nudges = max(machine.nudges, nudges_of(report.mandate))
-        if version <= machine.version:
+            machine.heeded = max(machine.heeded, nudges_of(report.mandate))
+            machine.nudges = max(machine.nudges, machine.heeded)
+        if version <= machine.version or report.tenure <= machine.lapsed:
             return False
         if report.tenure > machine.version.tenure and machine.version != NEVER_HEARD:
             # A new session: the worker has killed and forgotten everything, and it drops
@@ -377,6 +399,7 @@
             for held in list(machine.holds.values()):
                 if held.phase != PLANNED:
                     self.drop(held, now)
+            self.doubt(machine, "new-session", now)
             machine.shown.clear()
             machine.ended.clear()
         machine.version = version
@@ -391,8 +414,37 @@
             # Not shown, or it would have another phase. Settled by a later report only.
             if as_report and held.sent_after is not None and version > held.sent_after:
                 self.drop(held, now)
+                self.doubt(machine, "start-lost", now)
+        if machine.hears:
+            machine.unheeding_since = None
+        elif machine.unheeding_since is None:
+            machine.unheeding_since = now
         return True
 
+    def doubt(self, machine: Machine, why: str, now: Steady) -> None:
+        """Something we told a worker has not reached it: no more work until it shows a new token.
+
+        Where reports arrive and answers don't, a machine was refilled after each report.
+        """
+        if machine.hears and machine.nudges < NUDGES_MAX:
+            machine.nudges += 1
+            machine.must_heed = machine.nudges
+            log.info("event=doubted machine=%s why=%s", machine.id, why)
+            for held in [h for h in machine.holds.values() if h.phase == PLANNED]:
+                self.drop(held, now)
+
+    def restarted(self, machine: Machine, now: Steady) -> None:
+        """Its worker began anew: it has forgotten its sessions, its token and its tasks.
+
+        Told by a direct answer that is older than a message which had come before it was asked.
+        """
+        log.info("event=worker-restarted machine=%s", machine.id)
+        self.clear_out(machine, now)
+        machine.version = NEVER_HEARD
+        machine.lapsed = 0
+        machine.heeded = -1
+        machine.must_heed = 0
+
     def _absorb_pieces(self, machine: Machine, report: Report, now: Steady) -> None:
         """Take in the attempts shown, with work in proportion to what differs from before."""
         before, shown = machine.shown, {}
--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -90,6 +90,8 @@
         up once its lease is over and nothing on it can be lost.
         """
         silent: list[Machine] = []
+        unheeding: list[Machine] = []
+        lease_s = self.ctx.settings.params.workers.lease_s
         result: list[tuple[Machine, str]] = []
         late = known = 0
         late_s = LATE_AFTER * self.ctx.settings.params.workers.report_s
@@ -107,12 +109,17 @@
             late += now - since > late_s
             if now - since > self.ctx.policy.silence_s:
                 silent.append(machine)
+            elif machine.unheeding_since is not None and now - machine.unheeding_since > lease_s:
+                unheeding.append(machine)
         # Judged by those that are late by one report, not by those silent for long: when all
         # fall silent, their last reports lie an interval apart.
         few = late <= max(2, known // 3)
         for machine in silent:
             if few or machine.may_hold_until is None:
                 result.append((machine, "silent"))
+        if few and len(unheeding) <= max(2, known // 3):
+            # Its reports come, our answers don't reach it: it can't be used, but it is paid for.
+            result.extend((machine, "unheeding") for machine in unheeding)
         return result
 
     def release(self, chosen: list[tuple[Machine, str]]) -> None:
@@ -192,6 +199,7 @@
             and not m.holds
             and not m.quarantined
             and not m.usable()
+            and m.unheeding_since is None
             and m.warning_s is None
         ]
         for wish in fleet.wishes(
--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,141 @@
+"""A leader with stand-ins round it, driven step by step by a clock that the test moves."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from standins import Clock, FakeCloud, FakeStore, FakeWorker, mandate, policy, run, settings
+
+from ryewing.jobs import JobRecord, live_key
+from ryewing.leader import Leader
+from ryewing.leadership import TERM_KEY, Authority
+from ryewing.store import Put
+from ryewing.units import JobId, MachineId, Stamp, Token
+from ryewing.wire import Order, Report
+
+
+class DirectWorkers:
+    """Direct commands to stand-in workers."""
+
+    def __init__(self, workers: dict[str, FakeWorker]) -> None:
+        self.workers = workers
+        self.sent: list[Order] = []
+
+    def send(self, addr: str, term: Token, tenure: int, orders: list[Order]) -> Report:
+        worker = next(w for w in self.workers.values() if w.report().addr == addr)
+        if term >= worker.mandate and tenure == worker.tenure:
+            worker.execute(term, orders)
+            self.sent.extend(orders)
+        return worker.report()
+
+    def forget(self, addr: str) -> None:
+        """Nothing is kept here."""
+
+
+class Stage:
+    """A leader with stand-ins round it, driven step by step."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.store = FakeStore()
+        self.cloud = FakeCloud()
+        self.workers: dict[str, FakeWorker] = {}
+        self.lost: list[str] = []
+        self.finals: dict[JobId, str] = {}
+        self.leader = self.new_leader(5)
+
+    def new_leader(self, term: int) -> Leader:
+        authority = Authority(3.0, policy().hold_s)
+        authority.confirm(self.clock())
+        won = mandate(term, authority)
+        result = self.store.txn({}, [Put(TERM_KEY, {"term": term})])
+        won.term_stamp = Stamp(result.epoch)
+        leader = Leader(
+            settings(),
+            policy(),
+            self.store,  # type: ignore[arg-type]
+            won,
+            self.finals.__setitem__,
+            self.lost.append,
+            lambda _flavours: None,
+        )
+        leader.renter.cloud = self.cloud  # type: ignore[assignment]
+        leader.dispatch.workers = DirectWorkers(self.workers)  # type: ignore[assignment]
+        leader.ctx.take_flavours(self.cloud.flavours())
+        leader.dispatch.send_soon = lambda machine: None  # type: ignore[method-assign]
+        leader._load()
+        leader.ctx.loaded.set()
+        self.leader = leader
+        return leader
+
+    def later(self, seconds: float, renewed: bool = True) -> None:
+        self.clock.now += seconds
+        if renewed:
+            self.leader.ctx.authority.confirm(self.clock())
+
+    def accept(self, ref: str = "run-1", **changes: Any) -> JobId:
+        record = JobRecord(run(ref, **changes), 0.0)
+        result = self.store.txn({}, [Put(live_key(JobId(ref)), record)])
+        entry = self.store.get(live_key(JobId(ref)))
+        assert entry is not None
+        self.leader.intake.job_set(entry.data, Stamp(result.epoch))
+        return JobId(ref)
+
+    def worker(self, name: str = "i-000001", **kind: Any) -> FakeWorker:
+        worker = FakeWorker(name, **kind)
+        self.workers[name] = worker
+        return worker
+
+    def exchange(self, worker: FakeWorker) -> list[Order]:
+        """One report and its answer, executed."""
+        answer = self.leader.on_report(worker.report())
+        assert answer is not None
+        worker.execute(answer.mandate, answer.orders)
+        return answer.orders
+
+    def write(self) -> None:
+        while self.leader.writer.write_once():
+            pass
+
+    def ready(self, *workers: FakeWorker) -> None:
+        """Hear workers, record them and hear them again under our term."""
+        for worker in workers:
+            self.exchange(worker)
+        self.write()
+        for worker in workers:
+            self.exchange(worker)
+        assert self.leader.placer.ready_to_place()
+
+    def ready_worker(self) -> FakeWorker:
+        """A worker to which tasks may be given."""
+        worker = self.worker()
+        self.ready(worker)
+        return worker
+
+    def begin(self, worker: FakeWorker, *names: str, **changes: Any) -> JobId:
+        """Accept a job and let the worker fetch its starts."""
+        job = self.accept(*names, **changes)
+        self.place()
+        self.exchange(worker)
+        return job
+
+    def end(self, worker: FakeWorker) -> None:
+        """Finish everything on a worker, and report it."""
+        worker.finish()
+        self.exchange(worker)
+
+    def place(self) -> None:
+        assert self.leader.placer.ready_to_place()
+        self.leader.placer.run_pass()
+
+    def holds(self, name: str = "i-000001") -> dict[str, str]:
+        machine = self.leader.ctx.picture.machines[MachineId(name)]
+        return {str(task): held.phase for task, held in machine.holds.items()}
+
+
+def starts(orders: list[Order]) -> list[str]:
+    return sorted(order.piece for order in orders if order.verb == "start")
+
+
+def verbs(orders: list[Order]) -> list[str]:
+    return sorted(order.verb for order in orders)
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -341,7 +341,7 @@
         self, name: str, flavour: Flavour = CPU, site: str = "a", loaner: bool = False
     ) -> Machine:
         machine = self.picture.add(MachineId(name), flavour, Zone(site), loaner, T0)
-        machine.handshaken = machine.recorded = True
+        machine.heeded, machine.recorded = 0, True
         return machine
 
     def job(self, ref: str, **changes: Any) -> Job:
--- /dev/null
+++ b/tests/test_troubles.py
@@ -0,0 +1,266 @@
+"""Troubles that came with the grown deployments: who hears, what is old, who is back.
+
+Each row fails without the guard that it names.
+"""
+
+from __future__ import annotations
+
+import copy
+
+import pytest
+from stage import Stage, starts
+from standins import FakeWorker, policy, settings
+
+from ryewing.picture import PLANNED, RUNNING, SENT
+from ryewing.units import MachineId, Term, token_of
+from ryewing.wire import Report
+
+LEASE_S = settings().params.workers.lease_s
+REPORT_S = settings().params.workers.report_s
+
+
+def unanswered(stage: Stage, worker: FakeWorker) -> None:
+    """A report that arrives, and an answer that doesn't."""
+    stage.leader.on_report(worker.report())
+
+
+def placed_in_rounds(stage: Stage, worker: FakeWorker, rounds: int) -> int:
+    """Count the rounds in which a machine whose answers are lost was given starts."""
+    given = 0
+    for _ in range(rounds):
+        stage.later(REPORT_S)
+        stage.place()
+        answer = stage.leader.on_report(worker.report())
+        given += answer is not None and bool(starts(answer.orders))
+    return given
+
+
+def test_a_machine_that_does_not_hear_gets_no_more_work(stage: Stage) -> None:
+    """Reports arrive, answers don't: it was refilled after every report, for ever."""
+    deaf = stage.ready_worker()
+    stage.accept(pieces=4)
+    assert placed_in_rounds(stage, deaf, 12) == 1
+    assert stage.holds() == {}
+    machine = stage.leader.ctx.picture.machines[MachineId(deaf.name)]
+    assert not machine.usable() and machine.unheeding_since is not None
+    # It is neither room nor on its way to be room: something is rented in its place.
+    stage.place()
+    stage.leader.renter.rent()
+    assert len(stage.cloud.requests) == 1
+    # Once it is seen to hear, by a message that shows the new token, it gets work again.
+    stage.exchange(deaf)
+    stage.exchange(deaf)
+    stage.place()
+    assert len(starts(stage.exchange(deaf))) == 4
+
+
+def test_a_session_that_rises_although_it_was_answered_casts_doubt(stage: Stage) -> None:
+    deaf = stage.ready_worker()
+    deaf.tenure += 1
+    stage.accept(pieces=1)
+    unanswered(stage, deaf)
+    stage.place()
+    assert stage.holds() == {}
+    stage.exchange(deaf)  # it hears this
+    stage.exchange(deaf)  # and shows it
+    stage.place()
+    assert len(starts(stage.exchange(deaf))) == 1
+
+
+def test_a_machine_that_never_shook_hands_is_not_counted_as_booting(stage: Stage) -> None:
+    deaf = stage.worker()
+    for _ in range(3):
+        unanswered(stage, deaf)
+        stage.write()
+        stage.later(policy().gather_s / 2)
+    stage.accept(pieces=8)
+    stage.place()
+    stage.leader.renter.rent()
+    assert len(stage.cloud.requests) == 1
+
+
+@pytest.mark.parametrize(("deaf", "given_up"), [(1, 1), (2, 2), (6, 0)])
+def test_machines_that_do_not_hear_for_long_are_returned_unless_many(
+    stage: Stage, deaf: int, given_up: int
+) -> None:
+    """Many at once may mean that it is our answers that are lost."""
+    workers = [stage.worker(f"i-{n:06d}") for n in range(9)]
+    stage.ready(*workers)
+    stage.accept(pieces=72)
+    stage.place()
+    for _ in range(int(LEASE_S / REPORT_S) + 4):
+        stage.later(REPORT_S)
+        for number, worker in enumerate(workers):
+            if number < deaf:
+                unanswered(stage, worker)
+            else:
+                stage.exchange(worker)
+    chosen = stage.leader.renter.to_give_up(stage.clock())
+    assert [why for _machine, why in chosen] == ["unheeding"] * given_up
+
+
+@pytest.mark.parametrize("age_s", [1.0, 5.0, LEASE_S + 1.0, 3 * LEASE_S])
+@pytest.mark.parametrize("alive", [True, False])
+@pytest.mark.parametrize("copies", ["older", "newest"])
+def test_copies_of_reports_prove_nothing_to_the_same_leader(
+    stage: Stage, age_s: float, alive: bool, copies: str
+) -> None:
+    """Late copies must not renew, settle, or bring back what is gone."""
+    worker = stage.ready_worker()
+    older = worker.report()
+    stage.leader.on_report(older)
+    stage.begin(worker, pieces=2)
+    newest = worker.report()
+    stage.leader.on_report(newest)
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
+    heard_at, until = machine.heard_at, machine.may_hold_until
+    assert heard_at is not None and until is not None
+    stage.later(age_s)
+    if alive:
+        stage.exchange(worker)
+        heard_at, until = machine.heard_at, machine.may_hold_until
+    stage.leader.ctx.picture.expire(stage.clock())
+    gone = not alive and age_s > LEASE_S
+    copy_of = copy.deepcopy(older if copies == "older" else newest)
+    for _ in range(3):
+        answer = stage.leader.on_report(copy_of)
+        assert answer is None or not starts(answer.orders)
+    assert machine.heard_at == heard_at
+    if not alive and age_s > 4.5:
+        assert answer is None
+        assert machine.may_hold_until == (None if gone else until)
+    assert sorted(stage.holds().values()) == ([] if gone else [RUNNING, RUNNING])
+    assert machine.handshaken
+
+
+def test_a_held_back_report_newer_than_any_does_not_bring_back_a_machine(stage: Stage) -> None:
+    """The last report of a machine that is gone, delivered well after its lease."""
+    worker = stage.ready_worker()
+    stage.begin(worker, pieces=2)
+    stage.exchange(worker)
+    held_back = worker.report()
+    stage.later(LEASE_S + 1.0)
+    stage.leader.ctx.picture.expire(stage.clock())
+    assert stage.holds() == {}
+    assert stage.leader.on_report(held_back) is None
+    assert stage.holds() == {}
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
+    assert machine.may_hold_until is None
+    worker.tenure += 1  # whereas the worker itself would come in a new session
+    worker.pieces.clear()
+    assert stage.leader.on_report(worker.report()) is not None
+
+
+def test_copies_settle_no_assumed_start(stage: Stage) -> None:
+    worker = stage.ready_worker()
+    stage.accept(pieces=1)
+    stage.place()
+    before = worker.report()
+    stage.leader.on_report(before)
+    [phase] = stage.holds().values()
+    assert phase == SENT
+    for late in (1.0, 6.0):
+        stage.later(late)
+        stage.leader.on_report(copy.deepcopy(before))
+        assert list(stage.holds().values()) == [SENT]
+
+
+@pytest.mark.parametrize("recorded", [True, False])
+def test_copies_at_the_next_leader_give_no_work_and_end_with_their_lease(
+    stage: Stage, recorded: bool
+) -> None:
+    worker = stage.ready_worker()
+    job = stage.begin(worker, pieces=1)
+    late = worker.report()
+    if not recorded:
+        stage.leader.writer.machines.drop(MachineId(worker.name))
+        stage.write()
+    stage.new_leader(6)
+    assert stage.leader.on_report(late) is not None  # it might be the worker itself
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
+    assert not machine.handshaken and not machine.usable()
+    found = stage.leader.ctx.book.get(job)
+    assert found is not None and found.shortfall == 0  # what it may hold blocks
+    for _ in range(4):
+        stage.later(6.0)
+        assert stage.leader.on_report(copy.deepcopy(late)) is None
+    bound = policy().hold_s + LEASE_S
+    stage.later(bound)
+    stage.leader.ctx.picture.expire(stage.clock())
+    assert found.shortfall == 1  # and no longer than it may
+    assert stage.leader.on_report(copy.deepcopy(late)) is None
+    assert found.shortfall == 1
+
+
+def test_a_restarted_worker_is_told_by_its_direct_answer(stage: Stage) -> None:
+    """Back within a fraction of a second it counts anew: its reports looked like old copies."""
+    worker = stage.ready_worker()
+    stage.begin(worker, pieces=2)
+    for _ in range(5):
+        stage.exchange(worker)
+    old = worker.report()
+    stage.leader.on_report(old)
+    worker.tenure, worker.tick, worker.mandate = 1, 0, 0
+    worker.pieces.clear()
+    stage.later(0.3)
+    stage.leader.on_report(worker.report())
+    assert len(stage.holds()) == 2  # not believed yet
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
+    stage.leader.dispatch.send(machine)
+    assert stage.holds() == {} and machine.handshaken
+    stage.leader.on_report(copy.deepcopy(old))  # a late copy from before
+    stage.leader.dispatch.send(machine)
+    assert stage.holds() == {}
+    stage.place()
+    assert list(stage.holds().values()) == [PLANNED, PLANNED]
+
+
+def test_a_direct_answer_overtaken_by_a_report_is_no_restart(stage: Stage) -> None:
+    worker = stage.ready_worker()
+    stage.begin(worker, pieces=2)
+    stage.exchange(worker)
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
+
+    class Overtaken:
+        """The report that follows the answer arrives before it."""
+
+        def send(self, *_args: object) -> Report:
+            answer = worker.report()
+            stage.exchange(worker)
+            return answer
+
+    stage.leader.dispatch.workers = Overtaken()  # type: ignore[assignment]
+    stage.leader.dispatch.send(machine)
+    assert list(stage.holds().values()) == [RUNNING, RUNNING]
+
+
+@pytest.mark.parametrize(
+    ("cut_s", "starts_work", "answers"),
+    [(1.0, True, True), (3.5, False, True), (16.0, False, True), (18.0, False, False)],
+)
+def test_a_controller_with_workers_only_loses_its_authority_in_two_steps(
+    stage: Stage, cut_s: float, starts_work: bool, answers: bool
+) -> None:
+    """Without store and peers: no starts after its lease, no answers after the hold."""
+    worker = stage.ready_worker()
+    job = stage.accept(pieces=1)
+    stage.place()
+    stage.later(cut_s, renewed=False)
+    report = worker.report()
+    answer = stage.leader.on_report(report)
+    assert (answer is not None) is answers
+    assert bool(answer and starts(answer.orders)) is starts_work
+    # Nothing is told from memory that a reader of the store might contradict.
+    assert (stage.leader.poll(job) is not None) is starts_work
+
+
+def test_a_worker_that_has_moved_over_ends_the_old_term(stage: Stage) -> None:
+    worker = stage.ready_worker()
+    old = stage.leader
+    stage.later(5.0, renewed=False)
+    stage.new_leader(6)
+    stage.exchange(worker)
+    stage.exchange(worker)
+    assert worker.mandate >= token_of(Term(6))
+    assert old.on_report(worker.report()) is None
+    assert "overruled" in stage.lost
