--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -26,7 +26,7 @@
 SEED_S = 10.0
 """A fetch longer than this is begun by one task only; the others come when it is done."""
 PREEMPT_MAX = 64
-"""Tasks stopped for one job in one pass: bounds the work of a pass."""
+"""Places freed for one array in one pass: bounds the work of a pass."""
 
 
 class PerCard(NamedTuple):
@@ -622,7 +622,8 @@
         run = job.run
         if not self._may_stop_any(job):
             return 0
-        wanted = min(wanted, PREEMPT_MAX)
+        if not whole:
+            wanted = min(wanted, PREEMPT_MAX)
         options: list[tuple[float, float, int, Room, list[Hold]]] = []
         usable = [
             room for room in rooms if self._victims(job, room) or (whole and room.may_fit(run))
--- a/src/ryewing/queueing.py
+++ b/src/ryewing/queueing.py
@@ -19,6 +19,8 @@
 
 STARVED_SPANS = 3.0
 """A job that is so many times its longest deadline old goes first in its rank."""
+START_S = 3.0
+"""What passes from the decision to place a job until its tasks run."""
 STARVED_S = 900.0
 """The same for a job without any deadline."""
 
@@ -34,14 +36,21 @@
 
 
 def deadlines(job: Job, objectives: Iterable[Objective]) -> tuple[WallTime, ...]:
-    """List the times by which a job should be complete, the earliest first."""
+    """List the times by which a job should be complete, the earliest first.
+
+    An aim for its start counts as one for its end, as long as it has not begun: whoever can't make
+    the first of them any more goes after those who still can.
+    """
     run = job.run
+    begun = bool(job.live) or job.done_count > 0
     found: set[float] = set()
     for objective in objectives:
         if objective.jobclass != run.jobclass:
             continue
         if objective.kind == "finished" and objective.within_s is not None:
             found.add(objective.within_s)
+        elif objective.kind == "wait" and objective.within_s is not None and not begun:
+            found.add(objective.within_s - START_S + job.estimate_s())
         elif objective.kind == "deadline" and run.due_s is not None:
             found.add(run.due_s * (objective.times or 1.0))
     if not found and run.due_s is not None:
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,288 @@
+"""The cost of things at several sizes, in counts: a step that grows with the square fails here."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from stage import Stage
+from standins import CPU, GPU, policy, run, settings
+
+from ryewing import placement
+from ryewing.jobs import DONE_PREFIX, Book, Job, JobRecord, live_key
+from ryewing.packed import Packed
+from ryewing.picture import RUNNING, Picture
+from ryewing.stops import Stops
+from ryewing.store import Put, StoreDown
+from ryewing.units import Attempt, JobId, MachineId, Stamp, Steady, TaskId, Term, Zone, parse_task
+from ryewing.wire import Entry, ReportedPiece
+from ryewing.writer import MACHINE_PREFIX
+
+T0 = Steady(1000.0)
+SIZES = [60, 260, 600]
+STATE = settings().params.state
+
+
+class Fleet:
+    """Machines of two types, three zones and two kinds, and jobs on them."""
+
+    def __init__(self, size: int) -> None:
+        self.book = Book()
+        self.picture = Picture(Term(5), 20.0, self.book, Stops())
+        for n in range(size):
+            flavour = GPU if n % 4 == 0 else CPU
+            machine = self.picture.add(
+                MachineId(f"i-{n:06d}"), flavour, Zone("abc"[n % 3]), n % 5 == 0, T0
+            )
+            machine.heeded, machine.recorded = 0, True
+
+    def job(self, ref: str, **changes: Any) -> Job:
+        return self.book.put(JobRecord(run(ref, **changes), 0.0), Stamp(1))
+
+    def fill(self, one: Job) -> None:
+        """Fill every machine that has no cards with a job's tasks."""
+        numbers = iter(range(one.run.pieces))
+        for machine in self.picture.machines.values():
+            while not machine.flavour.cards and machine.vcpus >= one.run.vcpus:
+                task = TaskId(one.id, next(numbers))
+                self.picture.hold(machine, task, Attempt(1), RUNNING, T0)
+
+    def plan(self, *jobs: Job) -> placement.Plan:
+        teams = {team.name: team for team in settings().params.teams}
+        rooms = [placement.Room(machine) for machine in self.picture.machines.values()]
+        quota = placement.Quota(teams, {}, {})
+        now = Steady(T0 + 100.0)
+        return placement.Pass(rooms, quota, now, random.Random(7), policy().sample).run(jobs)
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("full", [False, True])
+def test_a_gang_that_fits_is_placed_in_the_first_pass(size: int, full: bool) -> None:
+    """In a sample of all machines it hardly ever found enough of one type in one zone."""
+    fleet = Fleet(size)
+    ordinary = sum(
+        m.site == "a" and not m.loaner and m.flavour is CPU for m in fleet.picture.machines.values()
+    )
+    if full:
+        fleet.fill(fleet.job("run-9", rank="idle", pieces=size * 8))
+    gang = fleet.job(
+        "run-1", rank="urgent", shape="group", together=True, pieces=ordinary, vcpus=30.0,
+        flavours=["c32"], site="a",
+    )  # fmt: skip
+    plan = fleet.plan(gang)
+    assert not plan.short
+    if full:
+        assert len({held.machine.id for held in plan.stops}) == ordinary
+    else:
+        assert sum(n for batch in plan.batches for _machine, n in batch.parts) == ordinary
+    assert plan.looked <= 2 * ordinary
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_free_and_stopped_machines_make_a_gang_whole_together(size: int) -> None:
+    """A gang that needed free machines and full ones found neither enough."""
+    fleet = Fleet(size)
+    fleet.fill(fleet.job("run-9", rank="idle", pieces=size * 8))
+    ordinary = [
+        m for m in fleet.picture.machines.values()
+        if m.site == "a" and not m.loaner and m.flavour is CPU
+    ]  # fmt: skip
+    for machine in ordinary[::2]:
+        fleet.picture.clear_out(machine, T0)
+    gang = fleet.job(
+        "run-1", rank="urgent", shape="group", together=True, pieces=len(ordinary), vcpus=30.0,
+        flavours=["c32"], site="a",
+    )  # fmt: skip
+    plan = fleet.plan(gang)
+    assert not plan.short
+    assert {held.machine.id for held in plan.stops} == {m.id for m in ordinary[1::2]}
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("waiting", [10, 40])
+def test_what_found_no_room_is_not_looked_for_again(size: int, waiting: int) -> None:
+    """A backlog of like jobs before a full fleet costs one look, not one a job and machine."""
+    fleet = Fleet(size)
+    fleet.fill(fleet.job("run-9", pieces=size * 8))
+    jobs = [
+        fleet.job(f"run-1{n}", pieces=30, flavours=["c32"], loaner=True) for n in range(waiting)
+    ]
+    plan = fleet.plan(*jobs)
+    assert [one for one, _count in plan.short] == jobs
+    assert plan.looked == 0
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_an_array_looks_at_a_sample(size: int) -> None:
+    fleet = Fleet(size)
+    plan = fleet.plan(fleet.job("run-1", pieces=100_000, loaner=True))
+    assert plan.looked <= 2 * policy().sample  # machines without cards, then those with
+    assert sum(n for batch in plan.batches for _machine, n in batch.parts) >= policy().sample
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_machines_are_recorded_in_few_writes(stage: Stage, size: int) -> None:
+    """One write each took the write rate for many seconds before a first task could start."""
+    workers = [stage.worker(f"i-{n:06d}", loaner=n % 2 == 0) for n in range(size)]
+    before = stage.store.writes
+    stage.ready(*workers)
+    assert stage.store.writes - before <= size // 20 + 1
+    assert all(m.usable() for m in stage.leader.ctx.picture.machines.values())
+    stage.new_leader(6)
+    assert len(stage.leader.ctx.picture.machines) == size
+    assert all(m.recorded for m in stage.leader.ctx.picture.machines.values())
+
+
+@pytest.mark.parametrize("jobs", [8, 64, 256])
+def test_finishes_of_many_jobs_share_their_writes(stage: Stage, jobs: int) -> None:
+    """A job is refilled after its finishes are written: a write each delayed every one."""
+    for n in range(jobs):
+        name = JobId(f"run-{n}")
+        record = JobRecord(run(str(name), pieces=800), 0.0)
+        result = stage.store.txn({}, [Put(live_key(name), record)])
+        found = stage.leader.ctx.book.put(record, Stamp(result.epoch))
+        found.finish(n)
+        stage.leader.ctx.book.touch(found)
+    before = stage.store.writes
+    stage.write()
+    assert stage.store.writes - before <= jobs // 16 + 1
+    assert not any(one.unwritten for one in stage.leader.ctx.book)
+    stage.new_leader(6)
+    assert all(one.done_count == 1 for one in stage.leader.ctx.book)
+
+
+@pytest.mark.parametrize("tasks", [4, 16, 64])
+def test_an_unchanged_report_costs_nothing_a_task(
+    stage: Stage, monkeypatch: pytest.MonkeyPatch, tasks: int
+) -> None:
+    worker = stage.ready_worker()
+    stage.accept(pieces=tasks, vcpus=0.5, mem_gb=0.1)
+    stage.place()
+    stage.exchange(worker)
+    stage.exchange(worker)
+    assert len(stage.holds()) == tasks
+    parsed: list[str] = []
+
+    def counted(text: str) -> TaskId | None:
+        parsed.append(text)
+        return parse_task(text)
+
+    monkeypatch.setattr("ryewing.picture.parse_task", counted)
+    for _ in range(5):
+        stage.exchange(worker)
+    assert not parsed
+    key = next(iter(worker.pieces))
+    worker.pieces[key] = ReportedPiece(*key, "ended", "done")
+    stage.exchange(worker)
+    assert len(parsed) <= 1
+    assert len(stage.holds()) == tasks - 1
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_direct_messages_are_bounded_by_rate_not_by_machines(stage: Stage, size: int) -> None:
+    """After each write every machine with an ended task was sent a message of its own."""
+    workers = [stage.worker(f"i-{n:06d}") for n in range(size)]
+    stage.ready(*workers)
+    stage.accept(pieces=size * 16)
+    stage.place()
+    for worker in workers * 2:
+        stage.exchange(worker)
+    sent: list[MachineId] = []
+    stage.leader.dispatch.send_soon = lambda machine: sent.append(machine.id)  # type: ignore[method-assign]
+    for worker in workers:
+        stage.end(worker)
+    stage.write()
+    assert not sent
+    stage.place()
+    assert len(sent) <= 60 * settings().params.resources.core_share
+
+
+# -- records that share a value -----------------------------------------------------------------
+
+
+def written(packed: Packed, store: dict[str, Entry], stamp: int) -> int:
+    """Make every wanted change; return how many."""
+    count = 0
+    for number in list(packed.changed()):
+        op, version, size = packed.write(number)
+        key = packed.key(number)
+        held = store.get(key)
+        assert packed.stamp(number) == (held.stamp if held is not None else 0)
+        if isinstance(op, Put):
+            data = msgspec.json.encode(op.value)
+            assert len(data) <= STATE.value_kb * 1024 and len(data) <= size + 2
+            store[key] = Entry(key, msgspec.Raw(data), stamp)
+            packed.written(number, version, Stamp(stamp))
+        else:
+            del store[key]
+            packed.written(number, version, Stamp(0))
+        count += 1
+    return count
+
+
+@pytest.mark.parametrize("count", [1, 50, 500])
+def test_packed_records_come_back_and_go(count: int) -> None:
+    packed = Packed(MACHINE_PREFIX, STATE.value_kb)
+    store: dict[str, Entry] = {}
+    for n in range(count):
+        packed.put(f"i-{n:06d}", {"flavour": "c32", "n": n})
+    changes = written(packed, store, 1)
+    assert changes <= count // 50 + 1
+    for n in range(count):  # a record that grows stays where it is
+        packed.put(f"i-{n:06d}", {"flavour": "c32", "n": n, "addr": "10.1.0.2:9000"})
+    assert written(packed, store, 2) == changes
+    again = Packed(MACHINE_PREFIX, STATE.value_kb)
+    names = [name for entry in store.values() for name in again.load(entry)]
+    assert len(names) == len(set(names)) == count
+    for name in names:
+        again.drop(name)
+    written(again, store, 3)
+    assert not store
+
+
+def test_a_change_made_while_a_write_is_under_way_is_written_too() -> None:
+    packed = Packed(DONE_PREFIX, STATE.value_kb)
+    number = packed.put("run-1/0", "AA==")
+    _op, version, _size = packed.write(number)
+    packed.put("run-1/0", "gA==")
+    packed.written(number, version, Stamp(7))
+    assert packed.lacks(number) and packed.stamp(number) == 7
+
+
+def test_a_write_applied_late_cannot_take_back_a_newer_one(stage: Stage) -> None:
+    """Its answer was lost, a newer one was written, then the network delivered it after all."""
+    first, second = stage.worker("i-000001"), stage.worker("i-000002")
+    stage.exchange(first)
+    held_back: list[tuple[object, object]] = []
+    real = stage.store.txn
+
+    def hold_back(conditions: object, writes: object) -> object:
+        held_back.append((conditions, list(writes)))  # type: ignore[call-overload]
+        raise StoreDown("no answer")
+
+    stage.store.txn = hold_back  # type: ignore[assignment,method-assign]
+    with pytest.raises(StoreDown):
+        stage.leader.writer.write_once()
+    stage.store.txn = real  # type: ignore[method-assign]
+    stage.exchange(second)
+    stage.write()
+    [(conditions, writes)] = held_back
+    assert not real(conditions, writes).ok  # type: ignore[arg-type]
+    stage.new_leader(6)
+    assert set(stage.leader.ctx.picture.machines) == {"i-000001", "i-000002"}
+
+
+def test_a_write_that_was_applied_unseen_is_found_out(stage: Stage) -> None:
+    first, second = stage.worker("i-000001"), stage.worker("i-000002")
+    stage.exchange(first)
+    stage.store.lose_answers = True
+    with pytest.raises(StoreDown):
+        stage.leader.writer.write_once()
+    stage.store.lose_answers = False
+    stage.exchange(second)
+    stage.write()
+    assert all(m.recorded for m in stage.leader.ctx.picture.machines.values())
+    stage.new_leader(6)
+    assert set(stage.leader.ctx.picture.machines) == {"i-000001", "i-000002"}
