Nobody waits for an image where room is plenty; gangs prefer warm machines when stopping others

Ruled out: lack of cards (free in the log's state lines) and the order of jobs (the waits are in first placements of the job at hand).

--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -25,6 +25,8 @@
 COLD_DELAY_MAX_S = 20.0
 SEED_S = 10.0
 """A fetch longer than this is begun by one task only; the others come when it is done."""
+PLENTY = 1.5
+"""Room is plenty when it is so many times what all waiting jobs ask for."""
 PREEMPT_MAX = 64
 """Places freed for one array in one pass: bounds the work of a pass."""
 
@@ -354,6 +356,7 @@
         self._cut = False
         """The job at hand was shown a sample only."""
         self._lowest: int | None = None
+        self._plenty_cards = self._plenty_vcpus = False
         self.plan = Plan()
 
     def _choose_kept(self, cards: float) -> frozenset[MachineId]:
@@ -376,12 +379,23 @@
     def _leave_on(self, room: Room) -> PerCard:
         return self._leave if room.machine.id in self._kept else NO_CARDS
 
-    def run(self, jobs: Iterable[Job]) -> Plan:
+    def run(self, jobs: Sequence[Job]) -> Plan:
         """Place the jobs in the order given."""
+        self._find_plenty(jobs)
         for job in jobs:
             self._place(job)
         return self.plan
 
+    def _find_plenty(self, jobs: Sequence[Job]) -> None:
+        """See of which resource there is more than all that waits could use."""
+        cards = sum(job.shortfall * job.run.cards for job in jobs)
+        vcpus = sum(job.shortfall * job.run.vcpus for job in jobs)
+        enough = sum(max(0.0, room.vcpus) for room in self._rooms) >= PLENTY * vcpus
+        self._plenty_vcpus = enough
+        self._plenty_cards = enough and (
+            sum(max(0.0, room.cards) for room in self._rooms) >= PLENTY * cards
+        )
+
     def _candidates(self, job: Job) -> Allowed:
         """Narrow down to the machines that a job may use, asking once a type, zone and kind.
 
@@ -480,9 +494,12 @@
         """Delay scheduling: wait a little for a machine that has the image.
 
         A cold start holds its room for the whole fetch, often longer than the task runs. Gangs
-        don't wait: a whole machine, or several at once, come free too seldom.
+        don't wait: a whole machine, or several at once, come free too seldom. Nor does anybody
+        where room is plenty.
         """
         run = job.run
+        if self._plenty(job):
+            return True
         if job.gang or not any(room.machine.warmth(run.bundle) < COLD for room in rooms):
             return True
         longest = candidates.fetch_s(run)
@@ -490,6 +507,9 @@
             job.wanting_since = self._now
         return self._now - job.wanting_since >= min(COLD_DELAY * longest, COLD_DELAY_MAX_S)
 
+    def _plenty(self, job: Job) -> bool:
+        return self._plenty_cards if job.run.cards > 0 else self._plenty_vcpus
+
     def _seed_limit(self, job: Job, room: Room) -> int:
         """Bound the tasks that wait for one long fetch: one is enough to make the machine warm.
 
@@ -500,7 +520,7 @@
             # It failed a task and has finished none since: one more is a probe, many a waste.
             return 0 if room.machine.holds or room.seeded else 1
         warmth = room.machine.warmth(run.bundle)
-        if job.gang or warmth == WARM:
+        if job.gang or warmth == WARM or self._plenty(job):
             return run.pieces
         if fetch_s(run, room.machine) <= SEED_S:
             return run.pieces
@@ -618,32 +638,35 @@
         """Stop less important work for the job; return for how many tasks room was found.
 
         For a gang the free machines count too: they and the stopped ones make it whole together.
+        It takes machines with its image first, as it is waited for longer than one stopped task.
         """
         run = job.run
         if not self._may_stop_any(job):
             return 0
         if not whole:
             wanted = min(wanted, PREEMPT_MAX)
-        options: list[tuple[float, float, int, Room, list[Hold]]] = []
+        options: list[tuple[float, int, float, int, Room, list[Hold]]] = []
         usable = [
             room for room in rooms if self._victims(job, room) or (whole and room.may_fit(run))
         ]
         for number, room in enumerate(self._sampled(job, usable)):
             victims = self._victims(job, room)
             cost = sum(lost_work(held, self._now) for held in victims)
-            options.append((strands_cards(run, room.machine), cost, number, room, victims))
-        options.sort(key=lambda option: option[:3])
+            cold = room.machine.warmth(run.bundle) if whole else WARM
+            options.append((strands_cards(run, room.machine), cold, cost, number, room, victims))
+        options.sort(key=lambda option: option[:4])
         if not options:
             return 0
         got: list[tuple[Room, list[Hold], int]] = []
         left = wanted
-        found = [room for _s, _c, _n, room, _v in options]
-        for only in self._zones_for(job, found):
+        best = (wanted, 0)
+        for only in self._zones_for(job, [option[4] for option in options]):
             part = self._free_zone(job, wanted, options, only)
             short = wanted - sum(count for _room, _chosen, count in part)
-            if short < left:
-                got, left = part, short
-            if left == 0:
+            cold = sum(n for r, _chosen, n in part if r.machine.warmth(run.bundle) == COLD)
+            if (short, cold) < best and short < wanted:
+                got, left, best = part, short, (short, cold)
+            if left == 0 and (cold == 0 or not whole):
                 break
         if not got or (whole and left > 0):
             return 0
@@ -658,7 +681,7 @@
         self,
         job: Job,
         wanted: int,
-        options: list[tuple[float, float, int, Room, list[Hold]]],
+        options: list[tuple[float, int, float, int, Room, list[Hold]]],
         only: Zone | None,
     ) -> list[tuple[Room, list[Hold], int]]:
         """Choose whom to stop for a job, in one zone or in any."""
@@ -666,7 +689,7 @@
         got: list[tuple[Room, list[Hold], int]] = []
         sites: dict[Zone, int] = {}
         left = wanted
-        for _strands, _cost, _number, room, victims in options:
+        for *_order, room, victims in options:
             if left == 0:
                 break
             site = room.machine.site
