--- a/src/ryewing/fleet.py
+++ b/src/ryewing/fleet.py
@@ -12,12 +12,16 @@
 from .picture import Machine
 from .placement import allows
 from .policy import Policy
-from .units import Steady
+from .units import MachineId, Steady
 from .wire import Flavour, Run
 
 Option = tuple[str, str, bool]
 """Type, zone, spot."""
 
+SPARE_CARDS = 1.2
+"""How many times the cards lately wanted are kept."""
+RETIRE_DRAIN = 0.25
+"""The part of the drain target within which waiting work without cards must end."""
 NO_CAPACITY_S = 20.0
 NO_CAPACITY_MAX_S = 120.0
 
@@ -150,6 +154,28 @@
     return result
 
 
+def to_retire(
+    machines: Iterable[Machine], cards_wanted: float, drain_s: float, policy: Policy
+) -> set[MachineId]:
+    """Choose the machines with cards that should take no more work, the dearest first.
+
+    Work without cards keeps every machine busy, so one with cards would never be idle: where two
+    thirds of the cards were in use, all of them were paid for. Not while work without cards waits
+    for long, since then its processors are wanted too.
+    """
+    if drain_s > RETIRE_DRAIN * policy.drain_target_s:
+        return set()
+    with_cards = [m for m in machines if m.flavour.cards > 0 and m.hears and not m.quarantined]
+    with_cards.sort(key=lambda m: (price(m.flavour, m.loaner) / m.flavour.cards, m.id))
+    wanted = SPARE_CARDS * cards_wanted
+    chosen = set()
+    for machine in with_cards:
+        if wanted <= 0:
+            chosen.add(machine.id)
+        wanted -= machine.flavour.cards
+    return chosen
+
+
 def to_return(
     machines: Iterable[Machine], waiting: Sequence[tuple[Job, int]], policy: Policy, now: Steady
 ) -> list[Machine]:
@@ -161,6 +187,9 @@
     for machine in machines:
         if machine.holds or machine.leaving or machine.heard_at is None:
             continue
+        if machine.retiring:
+            chosen.append(machine)
+            continue
         if now - machine.idle_since < policy.idle_return_s and not machine.quarantined:
             continue
         if not machine.quarantined and any(
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -126,6 +126,7 @@
         "quarantined",
         "recorded",
         "rented_at",
+        "retiring",
         "shown",
         "site",
         "unheeding_since",
@@ -167,6 +168,8 @@
         self.nudges = 0
         self.nudged_at: Steady | None = None
         self.leaving = False
+        self.retiring = False
+        """No more work is wanted here: it is returned once what runs has ended."""
         self.quarantined = False
         self.holds: dict[TaskId, Hold] = {}
         self.shown: dict[tuple[str, int], ReportedPiece] = {}
@@ -196,6 +199,7 @@
             self.hears
             and self.recorded
             and not self.leaving
+            and not self.retiring
             and not self.quarantined
             and self.warning_s is None
         )
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -36,7 +36,8 @@
         self._guarantees = any(t.cpus or t.gpus for t in ctx.settings.params.teams)
         self._rng = random.Random()
         self._per_card = placement.NO_CARDS
-        self._cards_wanted = 0.0
+        self.cards_wanted = 0.0
+        """The cards in use and asked for; the memory of it halves in a minute."""
         self._cards_seen_at = ctx.began
         self._attempts = 0
 
@@ -81,6 +82,8 @@
             for job in (self.ctx.book.jobs[j] for j in self.ctx.book.waiting)
             if self._placeable(job, unheard, now)
         ]
+        # So many free cards work without cards must leave usable.
+        cards_kept = self._want_cards(jobs, now)
         if not jobs:
             self.short = []
             return
@@ -111,7 +114,7 @@
             self._rng,
             self.ctx.policy.sample,
             self._per_card,
-            self._cards_to_keep(jobs, now),
+            cards_kept,
             self._avoid,
         ).run(jobs)
         planned: set[MachineId] = set()
@@ -134,18 +137,25 @@
                 vcpus.free += machine.vcpus
         return queueing.order(jobs, self.ctx.settings.params.objectives, cards, vcpus, wall_now())
 
-    def _cards_to_keep(self, jobs: list[Job], now: Steady) -> float:
-        """Tell how many free cards work without cards must leave usable.
-
-        As many as were lately wanted beyond those in use; the memory of it halves in a minute.
-        """
+    def _want_cards(self, jobs: list[Job], now: Steady) -> float:
+        """Take note of the cards wanted; tell how many are beyond those in use."""
         used = sum(self.ctx.picture.team_cards.values())
         wanted = used + sum(job.shortfall * job.run.cards for job in jobs)
         elapsed = now - self._cards_seen_at
         self._cards_seen_at = now
-        faded = self._cards_wanted * 0.5 ** (max(0.0, elapsed) / CARDS_HALF_S)
-        self._cards_wanted = max(wanted, faded)
-        return self._cards_wanted - used
+        faded = self.cards_wanted * 0.5 ** (max(0.0, elapsed) / CARDS_HALF_S)
+        self.cards_wanted = max(wanted, faded)
+        return self.cards_wanted - used
+
+    def drain_s(self) -> float:
+        """Estimate how long the waiting work without cards would keep all machines busy."""
+        vcpus = sum(m.flavour.vcpus for m in self.ctx.picture.machines.values() if m.usable())
+        work = sum(
+            count * job.run.vcpus * job.estimate_s()
+            for job, count in self.short
+            if job.run.cards <= 0 and not job.endless
+        )
+        return work / max(vcpus, 1.0)
 
     def _placeable(self, job: Job, unheard: list[Machine], now: Steady) -> bool:
         if job.cancelled or job.unwritten or now < job.backoff_until:
--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -28,6 +28,8 @@
 FLAVOURS_KEY = "flavours"
 LIST_EVERY_S = 4.0
 FLAVOURS_EVERY_S = 60.0
+RETIRE_SHARE = 0.01
+"""The part of the fleet that stops taking work in one step."""
 LATE_AFTER = 1.3
 """Report intervals, a little more than the longest one, after which a report is late."""
 
@@ -76,6 +78,7 @@
             self.hire(hire)
         if not self.placer.gathered or not self.ctx.flavours:
             return
+        self._retire()
         returned = fleet.to_return(
             self.ctx.picture.machines.values(), self.placer.short, self.ctx.policy, steady_now()
         )
@@ -83,6 +86,21 @@
             self.release([(machine, "idle") for machine in returned[:RELEASE_MAX]])
         self.rent()
 
+    def _retire(self) -> None:
+        """Bring the machines that take no more work to what the cards wanted ask for."""
+        machines = self.ctx.picture.machines.values()
+        wanted = fleet.to_retire(
+            machines, self.placer.cards_wanted, self.placer.drain_s(), self.ctx.policy
+        )
+        budget = max(1, int(RETIRE_SHARE * len(machines)))
+        for machine in machines:
+            if machine.retiring and machine.id not in wanted:
+                machine.retiring = False
+                self.ctx.place.set()
+            elif not machine.retiring and machine.id in wanted and budget > 0:
+                machine.retiring = True
+                budget -= 1
+
     def to_give_up(self, now: Steady) -> list[tuple[Machine, str]]:
         """Machines that are better released than waited for.
 
@@ -200,6 +218,7 @@
             and not m.quarantined
             and not m.usable()
             and m.unheeding_since is None
+            and not m.retiring
             and m.warning_s is None
         ]
         for wish in fleet.wishes(
