--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -25,6 +25,8 @@
 COLD_DELAY_MAX_S = 20.0
 SEED_S = 10.0
 """A fetch longer than this is begun by one task only; the others come when it is done."""
+BEGIN_SHARE = 0.1
+"""The part of an overdue array that goes before everything."""
 PLENTY = 1.5
 """Room is plenty when it is so many times what all waiting jobs ask for."""
 PREEMPT_MAX = 64
@@ -72,6 +74,7 @@
         "dying_vcpus",
         "machine",
         "mem",
+        "reserved_s",
         "seeded",
         "stopping",
         "vcpus",
@@ -83,6 +86,8 @@
         self.vcpus = machine.vcpus
         self.cards = machine.cards
         self.mem = machine.mem_gb
+        self.reserved_s: float | None = None
+        """A gang waits for this machine, and for so long at the least."""
         self.stopping: set[Hold] = set(stopping)
         self.victims: dict[tuple[int, str | None], list[Hold]] = {}
         """Whom a job of some rank (or a team's guarantee) may stop here, found once a pass."""
@@ -224,6 +229,8 @@
         self.stops: list[Hold] = []
         self.short: list[tuple[Job, int]] = []
         """Jobs with tasks for which there is no room, not even room to be freed."""
+        self.reserved: tuple[Job, list[Machine]] | None = None
+        """The overdue gang for which machines are kept, and which."""
         self.looked = 0
         """Machines looked at one by one: the cost of the pass."""
 
@@ -379,13 +386,78 @@
     def _leave_on(self, room: Room) -> PerCard:
         return self._leave if room.machine.id in self._kept else NO_CARDS
 
-    def run(self, jobs: Sequence[Job]) -> Plan:
-        """Place the jobs in the order given."""
+    def run(self, jobs: Sequence[Job], overdue: Sequence[Job] = ()) -> Plan:
+        """Place the jobs in the order given, those overdue to begin before all.
+
+        An array has begun when a part of it runs; the rest comes by the order. A gang begins
+        whole or not at all, so room is reserved for it where it would first be free.
+        """
         self._find_plenty(jobs)
-        for job in jobs:
+        reserved = False
+        for job in overdue:
+            if not job.gang:
+                self._place(job, max(1, int(BEGIN_SHARE * job.run.pieces)))
+                continue
             self._place(job)
+            if not reserved and any(waiting is job for waiting, _count in self.plan.short[-1:]):
+                self._reserve(job)
+                reserved = True
+        begun = set(overdue)
+        for job in jobs:
+            if job not in begun:
+                self._place(job)
         return self.plan
 
+    def _reserve(self, job: Job) -> None:
+        """Keep the machines that will soonest hold the whole gang, in one zone if it asks that.
+
+        Others may use them for what ends before the last of them is free (backfilling). Decided
+        anew in every pass: machines that have emptied meanwhile come first, so it holds.
+        """
+        run = job.run
+        soonest: tuple[float, list[Room]] | None = None
+        rooms = self._candidates(job).rooms
+        for only in self._zones_for(job, rooms):
+            waits = sorted(
+                ((self._free_in(job, room), number, room) for number, room in enumerate(rooms)
+                 if (only is None or room.machine.site == only)
+                 and not self._avoid(job, room.machine)),
+                key=lambda item: item[:2],
+            )  # fmt: skip
+            left, kept, last = run.pieces, [], 0.0
+            for wait, _number, room in waits:
+                flavour = room.machine.flavour
+                count = count_fitting(run, flavour.vcpus, flavour.cards, flavour.mem_gb, left)
+                if count <= 0 or math.isinf(wait):
+                    continue
+                kept.append(room)
+                left -= count
+                last = wait
+                if left == 0:
+                    break
+            if left == 0 and (soonest is None or last < soonest[0]):
+                soonest = (last, kept)
+        if soonest is None:
+            return
+        for room in soonest[1]:
+            room.reserved_s = soonest[0]
+        self.plan.reserved = (job, [room.machine for room in soonest[1]])
+
+    def _free_in(self, job: Job, room: Room) -> float:
+        """Estimate when a machine will be free of all that the gang would have to wait for."""
+        left = 0.0
+        for held in room.machine.holds.values():
+            if held.job is None or held in room.stopping or may_preempt(job, held):
+                continue
+            ran = self._now - held.ran_from if held.ran_from is not None else 0.0
+            left = max(left, held.job.estimate_s() - ran, 1.0)
+        return left
+
+    @staticmethod
+    def _may_use(job: Job, room: Room) -> bool:
+        """Tell whether a reserved machine may be used: for what ends before it is needed."""
+        return room.reserved_s is None or (not job.gang and job.estimate_s() < room.reserved_s)
+
     def _find_plenty(self, jobs: Sequence[Job]) -> None:
         """See of which resource there is more than all that waits could use."""
         cards = sum(job.shortfall * job.run.cards for job in jobs)
@@ -429,8 +501,8 @@
         self._cut = True
         return self._rng.sample(rooms, self._sample)
 
-    def _place(self, job: Job) -> None:
-        wanted = job.shortfall
+    def _place(self, job: Job, most: int | None = None) -> None:
+        wanted = job.shortfall if most is None else min(job.shortfall, most)
         if wanted <= 0:
             return
         allowed = self._quota.headroom(job.run, wanted)
@@ -438,11 +510,13 @@
         if allowed <= 0 or (whole and allowed < wanted):
             return
         candidates = self._candidates(job)
-        left = most = min(wanted, allowed)
+        left = asked = min(wanted, allowed)
         if candidates.known_full(job):
             self.plan.short.append((job, left))
             return
         rooms = candidates.rooms
+        if self.plan.reserved is not None:
+            rooms = [room for room in rooms if self._may_use(job, room)]
         if job.failed_on:
             rooms = [room for room in rooms if not self._avoid(job, room.machine)]
         self._cut = False
@@ -460,7 +534,7 @@
         else:
             left -= self._place_in(job, left, rooms, whole)
         saw_all = len(rooms) == len(candidates.rooms) and not self._cut and not job.gang
-        if left == most and saw_all and not any(room.may_fit(job.run) for room in rooms):
+        if left == asked and saw_all and not any(room.may_fit(job.run) for room in rooms):
             candidates.note_full(job)
         if left > 0 and not job.gang and candidates.fetch_s(job.run) > SEED_S:
             for room in rooms:
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -17,7 +17,7 @@
 from .jobs import Job, fits_flavour
 from .picture import PLANNED, RUNNING, SAVING, WARM, Machine
 from .term import TermContext
-from .units import Attempt, MachineId, Steady, TaskId, attempt_of, steady_now, wall_now
+from .units import Attempt, JobId, MachineId, Steady, TaskId, attempt_of, steady_now, wall_now
 
 log = logging.getLogger("ryewing.placer")
 
@@ -40,6 +40,7 @@
         """The cards in use and asked for; the memory of it halves in a minute."""
         self._cards_seen_at = ctx.began
         self._attempts = 0
+        self._reserved_for: JobId | None = None
 
     def place_loop(self) -> None:
         """Make a pass whenever something has changed, at a bounded share of the time."""
@@ -88,6 +89,7 @@
             self.short = []
             return
         jobs = self._ordered(jobs)
+        overdue = queueing.overdue(jobs, wall_now())
         for wanting in jobs:
             self._per_card = self._per_card.widened(wanting)
         fresh = now - 2.5 * self.ctx.settings.params.workers.report_s
@@ -116,7 +118,11 @@
             self._per_card,
             cards_kept,
             self._avoid,
-        ).run(jobs)
+        ).run(jobs, overdue)
+        if plan.reserved is not None and plan.reserved[0].id != self._reserved_for:
+            gang, kept = plan.reserved
+            log.info("event=reserved job=%s machines=%d", gang.id, len(kept))
+        self._reserved_for = plan.reserved[0].id if plan.reserved is not None else None
         planned: set[MachineId] = set()
         for batch in plan.batches:
             self._apply(batch, now)
--- a/src/ryewing/queueing.py
+++ b/src/ryewing/queueing.py
@@ -19,6 +19,8 @@
 
 STARVED_SPANS = 3.0
 """A job that is so many times its longest deadline old goes first in its rank."""
+BEGIN_S = 120.0
+"""How long the order may put a job off before it has begun at all; it is to begin in twice that."""
 START_S = 3.0
 """What passes from the decision to place a job until its tasks run."""
 STARVED_S = 900.0
@@ -69,6 +71,16 @@
     return now - job.at > span
 
 
+def overdue(jobs: Iterable[Job], now: WallTime) -> list[Job]:
+    """Choose the jobs that have waited too long to begin, the most important and oldest first.
+
+    The order puts the largest jobs off by design, and a steady stream of smaller ones can keep
+    taking what a large gang waits for: without a bound, the largest would never begin.
+    """
+    chosen = [job for job in jobs if not job.live and not job.done_count and now - job.at > BEGIN_S]
+    return sorted(chosen, key=lambda job: (job.rank, job.at, job.id))
+
+
 def _rank_order(
     jobs: Sequence[Job], times: dict[Job, tuple[WallTime, ...]], supply: Supply, now: WallTime
 ) -> list[Job]:
--- /dev/null
+++ b/tests/test_fairness.py
@@ -0,0 +1,133 @@
+"""Against a steady stream of smaller work: the largest begin, and every class and team is served.
+
+A small world in steps of five seconds: passes place, tasks run their time, and as much new small
+work comes as has ended, so that there is never room to spare.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from standins import CPU, run, settings
+
+from ryewing import placement, queueing
+from ryewing.jobs import Book, Job, JobRecord
+from ryewing.picture import RUNNING, Hold, Picture
+from ryewing.settings import Team
+from ryewing.stops import Stops
+from ryewing.units import Attempt, MachineId, Stamp, Steady, TaskId, Term, WallTime, Zone
+
+STEP_S = 5.0
+BOUND_S = 240.0
+
+
+class Stream:
+    """Machines, a queue of small jobs that never ends, and one large job."""
+
+    def __init__(self, machines: int, small: dict[str, Any], waiting: int) -> None:
+        self.book = Book()
+        self.picture = Picture(Term(5), 20.0, self.book, Stops())
+        self.now = 0.0
+        self.small = small
+        self.waiting = waiting
+        self.count = 0
+        self.began: dict[str, float] = {}
+        self.rng = random.Random(3)
+        for n in range(machines):
+            machine = self.picture.add(
+                MachineId(f"i-{n:06d}"), CPU, Zone("ab"[n % 2]), False, Steady(0.0)
+            )
+            machine.heeded, machine.recorded = 0, True
+
+    def accept(self, **changes: Any) -> Job:
+        self.count += 1
+        record = JobRecord(run(f"run-{self.count}", **changes), self.now)
+        return self.book.put(record, Stamp(1))
+
+    def end_tasks(self) -> None:
+        for machine in self.picture.machines.values():
+            for held in list(machine.holds.values()):
+                job = held.job
+                assert job is not None and held.ran_from is not None
+                if self.now - held.ran_from >= job.run.guess_s:
+                    self.picture.drop(held, Steady(self.now), finished=True)
+                    job.finish(held.task.number)
+                    job.unwritten.clear()
+                    if job.complete:
+                        self.book.drop(job)
+
+    def step(self) -> None:
+        self.now += STEP_S
+        self.end_tasks()
+        small = sum(job.shortfall > 0 for job in self.book) - 1
+        for _ in range(max(0, self.waiting - small)):
+            self.accept(**self.small)
+        jobs = [self.book.jobs[name] for name in sorted(self.book.waiting)]
+        total = sum(m.flavour.vcpus for m in self.picture.machines.values())
+        free = sum(m.vcpus for m in self.picture.machines.values())
+        supply = queueing.Supply(total, free)
+        now = WallTime(self.now)
+        ordered = queueing.order(jobs, settings().params.objectives, supply, supply, now)
+        rooms = [placement.Room(m) for m in self.picture.machines.values()]
+        teams = {"red": Team("red"), "blue": Team("blue")}
+        quota = placement.Quota(teams, {}, {})
+        plan = placement.Pass(rooms, quota, Steady(self.now), self.rng, 64).run(
+            ordered, queueing.overdue(ordered, now)
+        )
+        stopped: list[Hold] = plan.stops
+        for held in stopped:
+            self.picture.drop(held, Steady(self.now))
+        for batch in plan.batches:
+            self.began.setdefault(batch.job.id, self.now - batch.job.at)
+            for machine, count in batch.parts:
+                for number in batch.job.take(count):
+                    task = TaskId(batch.job.id, number)
+                    self.picture.hold(machine, task, Attempt(1), RUNNING, Steady(self.now))
+
+
+ONE = {"shape": "group", "rank": "urgent", "pieces": 1, "vcpus": 30.0, "guess_s": 60.0}
+PAIR = {**ONE, "pieces": 2, "together": True}
+ARRAY = {"rank": "standard", "pieces": 8, "vcpus": 4.0, "guess_s": 30.0}
+
+
+@pytest.mark.parametrize(
+    ("small", "waiting", "large"),
+    [
+        (ONE, 4, {**ONE, "pieces": 6, "together": True}),  # small gangs take each machine freed
+        (PAIR, 4, {**ONE, "pieces": 6, "together": True}),
+        (PAIR, 4, {**ONE, "pieces": 9}),  # from both zones
+        ({**ARRAY, "rank": "urgent"}, 6, {**ONE, "pieces": 6, "together": True}),
+        (ARRAY, 6, {**ARRAY, "pieces": 2000}),  # put off by the order, as it can't be on time
+        (ARRAY, 6, {**ARRAY, "owner": "blue", "rank": "idle"}),  # lesser rank, another team
+        (ARRAY, 6, {**ARRAY, "rank": "idle", "pieces": 2000, "jobclass": "other"}),
+    ],
+)
+def test_the_largest_begin_within_four_minutes(
+    small: dict[str, Any], waiting: int, large: dict[str, Any]
+) -> None:
+    stream = Stream(12, small, waiting)
+    for _ in range(12):
+        stream.step()
+    one = stream.accept(**large)
+    while one.id not in stream.began and stream.now - one.at < 4 * BOUND_S:
+        stream.step()
+    assert stream.began.get(one.id, 4 * BOUND_S) <= BOUND_S
+
+
+@pytest.mark.parametrize("small", [ONE, PAIR, ARRAY])
+def test_room_that_is_kept_is_used_for_what_ends_in_time(small: dict[str, Any]) -> None:
+    """A reservation must not empty a zone for minutes: short work goes on beside it."""
+    stream = Stream(12, small, 4)
+    for _ in range(12):
+        stream.step()
+    stream.accept(**{**ONE, "pieces": 6, "together": True})
+    quick = {**ARRAY, "guess_s": 5.0}
+    used = []
+    for _ in range(40):
+        stream.accept(**quick)
+        stream.step()
+        free = sum(m.vcpus for m in stream.picture.machines.values())
+        used.append(1 - free / (12 * CPU.vcpus))
+    assert sum(used) / len(used) > 0.8
