--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -208,6 +208,46 @@
     }
 
 
+@pytest.mark.parametrize("who", ["leader", "follower", "follower of a silent leader", "nobody"])
+@pytest.mark.parametrize(
+    ("stored", "told"),
+    [
+        (("live", False), "queued"),
+        (("live", True), "cancelled"),
+        (("final", "done"), "done"),
+        (("final", "cancelled"), "cancelled"),
+    ],
+)
+def test_an_accepted_job_stays_known_through_troubles_and_after(
+    client: Client, who: str, stored: tuple[str, Any], told: str
+) -> None:
+    """Whoever is asked, and whoever leads: never 404, and an answer once the troubles are over.
+
+    Answered by the leader from memory where it may, else from the store by whom users reach.
+    """
+    node = client.node
+    if stored[0] == "live":
+        client.live("run-1", cancelled=stored[1])
+    else:
+        client.final("run-1", stored[1])
+    if who == "leader":
+        node.leader = FakeLeader()  # its lease is gone, or the final write is under way
+    if who == "follower" and told == "queued":
+        node.remote[JobId("run-1")] = RunStatus("run-1", "queued")
+    if who == "nobody":
+        node.follows = None
+    node.store.down = True
+    for _ in range(3):
+        status, answer = client("GET", "/v2/runs/run-1")
+        assert status in (200, 503)
+        assert answer.get("status") == told if status == 200 else "Retry-After" in client.headers
+    node.store.down = False
+    for _ in range(2):  # every question from now on, so well within the 75 s
+        status, answer = client("GET", "/v2/runs/run-1")
+        assert (status, answer["status"]) == (200, told)
+    assert client("GET", "/v2/runs/run-2")[0] == 404
+
+
 def test_final_states_are_remembered_in_a_bounded_way(client: Client) -> None:
     for n in range(1, 6):
         client.final(f"run-{n}", "done")
