--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -236,6 +236,8 @@
         self.book = book
         self.stops = stops
         self.machines: dict[MachineId, Machine] = {}
+        self._planned: set[Hold] = set()
+        """Planned lately; those sent since are left out when it is looked through."""
         self.team_vcpus: dict[TeamName, float] = {}
         self.team_cards: dict[TeamName, float] = {}
         self._lease_s = lease_s * (1 + DRIFT) + LEASE_MARGIN_S
@@ -255,6 +257,8 @@
             job = None
         held = Hold(machine, task, attempt, job, phase, now)
         machine.holds[task] = held
+        if phase == PLANNED:
+            self._planned.add(held)
         if job is not None:
             run = job.run
             machine.vcpus -= run.vcpus
@@ -279,6 +283,7 @@
         """Take a task attempt off its machine."""
         machine = held.machine
         del machine.holds[held.task]
+        self._planned.discard(held)
         if not machine.holds:
             machine.idle_since = now
         self.stops.gone(machine.id, held.task, held.attempt)
@@ -376,10 +381,11 @@
 
     def unplan(self, now: Steady, patience_s: float) -> None:
         """Give up plans whose machine did not come to fetch them: nothing was sent."""
-        for machine in self.machines.values():
-            for held in list(machine.holds.values()):
-                if held.phase == PLANNED and now - held.planned_at > patience_s:
-                    self.drop(held, now)
+        for held in list(self._planned):
+            if held.phase != PLANNED:
+                self._planned.discard(held)
+            elif now - held.planned_at > patience_s:
+                self.drop(held, now)
 
     # -- messages ---------------------------------------------------------------------------
 
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -360,6 +360,8 @@
             kind = (machine.flavour.sku, machine.site, machine.loaner)
             self._groups.setdefault(kind, []).append(room)
         self._allowed: dict[tuple[object, ...], Allowed] = {}
+        self._warm_only = False
+        """The job at hand still waits for a machine with its image."""
         self._cut = False
         """The job at hand was shown a sample only."""
         self._lowest: int | None = None
@@ -522,8 +524,7 @@
         self._cut = False
         self._leave = self._per_card.for_job(job)
         self._zones = Counter(job.zones)
-        if not self._may_go_cold(job, rooms, candidates):
-            rooms = [room for room in rooms if room.machine.warmth(job.run.bundle) < COLD]
+        self._warm_only = not self._may_go_cold(job, rooms, candidates)
         if job.run.cards <= 0 and job.rank < self._per_card.rank:
             # Important enough to need no reserve: first stop lesser work where there are no or
             # few cards, since a task that runs for minutes beside idle ones costs more.
@@ -534,12 +535,17 @@
         else:
             left -= self._place_in(job, left, rooms, whole)
         saw_all = len(rooms) == len(candidates.rooms) and not self._cut and not job.gang
+        saw_all = saw_all and not (self._warm_only and self._may_stop_any(job))
         if left == asked and saw_all and not any(room.may_fit(job.run) for room in rooms):
             candidates.note_full(job)
         if left > 0 and not job.gang and candidates.fetch_s(job.run) > SEED_S:
             for room in rooms:
                 # Room that waits for its image is as good as placed: nothing is rented for it.
-                if left > 0 and not room.machine.faults and self._seed_limit(job, room) == 0:
+                if left <= 0:
+                    break
+                if not room.may_fit(job.run) or not self._warm_enough(job.run, room):
+                    continue
+                if not room.machine.faults and self._seed_limit(job, room) == 0:
                     left -= room.count(job.run, left, False, self._leave_on(room))
         if left > 0 and not self._cut:
             self.plan.short.append((job, left))
@@ -548,7 +554,9 @@
         """Place, or find room to be freed, on these machines; return for how many tasks."""
         left = wanted
         run = job.run
-        fitting = self._sampled(job, [room for room in rooms if room.may_fit(run)])
+        fitting = self._sampled(
+            job, [room for room in rooms if room.may_fit(run) and self._warm_enough(run, room)]
+        )
         placed = self._fill(job, left, fitting, whole, with_dying=False)
         if placed:
             self._commit(job, placed)
@@ -581,6 +589,9 @@
             job.wanting_since = self._now
         return self._now - job.wanting_since >= min(COLD_DELAY * longest, COLD_DELAY_MAX_S)
 
+    def _warm_enough(self, run: Run, room: Room) -> bool:
+        return not self._warm_only or room.machine.warmth(run.bundle) < COLD
+
     def _plenty(self, job: Job) -> bool:
         return self._plenty_cards if job.run.cards > 0 else self._plenty_vcpus
 
@@ -721,7 +732,10 @@
             wanted = min(wanted, PREEMPT_MAX)
         options: list[tuple[float, int, float, int, Room, list[Hold]]] = []
         usable = [
-            room for room in rooms if self._victims(job, room) or (whole and room.may_fit(run))
+            room
+            for room in rooms
+            if (self._victims(job, room) or (whole and room.may_fit(run)))
+            and self._warm_enough(run, room)
         ]
         for number, room in enumerate(self._sampled(job, usable)):
             victims = self._victims(job, room)
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -15,7 +15,7 @@
 from . import placement, queueing
 from .dispatch import Dispatch
 from .jobs import Job, fits_flavour
-from .picture import PLANNED, RUNNING, SAVING, WARM, Machine
+from .picture import PLANNED, RUNNING, SAVING, WARM, Hold, Machine
 from .term import TermContext
 from .units import Attempt, JobId, MachineId, Steady, TaskId, attempt_of, steady_now, wall_now
 
@@ -96,12 +96,7 @@
         rooms = []
         for machine in self.ctx.picture.machines.values():
             if machine.usable() and machine.heard_at is not None and machine.heard_at > fresh:
-                stopping = frozenset(
-                    held
-                    for held in machine.holds.values()
-                    if self.ctx.stops.has(machine.id, held.task, held.attempt)
-                )
-                rooms.append(placement.Room(machine, stopping))
+                rooms.append(placement.Room(machine, self._stopping(machine)))
         quota = placement.Quota(
             self.ctx.teams,
             self.ctx.picture.team_vcpus,
@@ -133,6 +128,16 @@
             self.dispatch.stop_hold(held, held.job.mercy_s if held.job else 0.0, "preempted", now)
         self.short = plan.short
 
+    def _stopping(self, machine: Machine) -> frozenset[Hold]:
+        stops = self.ctx.stops
+        if not stops.any_on(machine.id):
+            return frozenset()
+        return frozenset(
+            held
+            for held in machine.holds.values()
+            if stops.has(machine.id, held.task, held.attempt)
+        )
+
     def _ordered(self, jobs: list[Job]) -> list[Job]:
         cards, vcpus = queueing.Supply(), queueing.Supply()
         for machine in self.ctx.picture.machines.values():
--- a/src/ryewing/stops.py
+++ b/src/ryewing/stops.py
@@ -72,6 +72,10 @@
         """Tell whether this attempt is being stopped."""
         return (task, attempt) in self._by_machine.get(machine, ())
 
+    def any_on(self, machine: MachineId) -> bool:
+        """Tell whether anything on a machine is being stopped."""
+        return machine in self._by_machine
+
     def gone(self, machine: MachineId, task: TaskId, attempt: Attempt) -> None:
         """The worker no longer has the attempt: the tombstone has done its work."""
         stones = self._by_machine.get(machine)
