--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -28,6 +28,7 @@
 FLAVOURS_KEY = "flavours"
 LIST_EVERY_S = 4.0
 FLAVOURS_EVERY_S = 60.0
+UNHEARD_EXTRA_S = 0.5
 RETIRE_SHARE = 0.01
 """The part of the fleet that stops taking work in one step."""
 LATE_AFTER = 1.3
@@ -83,7 +84,7 @@
             self.ctx.picture.machines.values(), self.placer.short, self.ctx.policy, steady_now()
         )
         if returned:
-            self.release([(machine, "idle") for machine in returned[:RELEASE_MAX]])
+            self.release([(machine, "idle") for machine in returned])
         self.rent()
 
     def _retire(self) -> None:
@@ -125,7 +126,12 @@
                     continue
             known += 1
             late += now - since > late_s
-            if now - since > self.ctx.policy.silence_s:
+            # A machine that has answered neither the handshake nor reported since the take-over
+            # blocks whatever it may hold, so it is waited for no longer than the gathering.
+            patience = self.ctx.policy.silence_s
+            if machine.heard_at is None:
+                patience = min(patience, self.ctx.policy.gather_s + UNHEARD_EXTRA_S)
+            if now - since > patience:
                 silent.append(machine)
             elif machine.unheeding_since is not None and now - machine.unheeding_since > lease_s:
                 unheeding.append(machine)
@@ -141,7 +147,11 @@
         return result
 
     def release(self, chosen: list[tuple[Machine, str]]) -> None:
-        """Return machines; once it is confirmed, nothing on them is there any more."""
+        """Return machines; once it is confirmed, nothing on them is there any more.
+
+        As many as one request takes: what was not in it is not gone.
+        """
+        chosen = chosen[:RELEASE_MAX]
         for machine, _why in chosen:
             machine.leaving = True
         try:
@@ -205,7 +215,7 @@
             if listed.status == "failed":
                 failed.append((machine, "failed"))
         if failed:
-            self.release(failed[:RELEASE_MAX])
+            self.release(failed)
 
     def rent(self) -> None:
         """Ask for what is short, beyond what is booting."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -11,6 +11,7 @@
 from standins import CPU, GPU, policy, run, settings
 
 from ryewing import placement
+from ryewing.cloud import RELEASE_MAX
 from ryewing.jobs import DONE_PREFIX, Book, Job, JobRecord, live_key
 from ryewing.packed import Packed
 from ryewing.picture import RUNNING, Picture
@@ -213,6 +214,17 @@
     assert len(sent) <= 60 * settings().params.resources.core_share
 
 
+def test_no_more_machines_count_as_gone_than_one_request_releases(stage: Stage) -> None:
+    """With more than a hundred to be given up, the rest was forgotten while it still ran tasks."""
+    workers = [stage.worker(f"i-{n:06d}") for n in range(250)]
+    stage.ready(*workers)
+    machines = list(stage.leader.ctx.picture.machines.values())
+    stage.leader.renter.release([(machine, "silent") for machine in machines])
+    assert len(stage.cloud.released) == RELEASE_MAX
+    assert len(stage.leader.ctx.picture.machines) == 250 - RELEASE_MAX
+    assert not any(m.leaving for m in stage.leader.ctx.picture.machines.values())
+
+
 # -- records that share a value -----------------------------------------------------------------
 
 
