Count a card as free only if there are processors left beside it

Cause: what is plenty was judged by processors and cards apart, so a backlog of work without cards kept card work waiting for images, and cards beside gangs counted as room.

--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -464,11 +464,11 @@
         """See of which resource there is more than all that waits could use."""
         cards = sum(job.shortfall * job.run.cards for job in jobs)
         vcpus = sum(job.shortfall * job.run.vcpus for job in jobs)
-        enough = sum(max(0.0, room.vcpus) for room in self._rooms) >= PLENTY * vcpus
-        self._plenty_vcpus = enough
-        self._plenty_cards = enough and (
-            sum(max(0.0, room.cards) for room in self._rooms) >= PLENTY * cards
-        )
+        self._plenty_vcpus = sum(max(0.0, r.vcpus) for r in self._rooms) >= PLENTY * vcpus
+        # A card counts if there are processors left beside it.
+        beside = max(self._per_card.vcpus, 1e-3)
+        usable = sum(min(r.cards, r.vcpus // beside) for r in self._rooms if r.cards > 0)
+        self._plenty_cards = usable >= PLENTY * cards
 
     def _candidates(self, job: Job) -> Allowed:
         """Narrow down to the machines that a job may use, asking once a type, zone and kind.
