--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -484,7 +484,7 @@
     stage: Stage, machines: int, silent: int, given_up: int
 ) -> None:
     """Many silent at once may mean that the fault is here: nothing is released in haste."""
-    workers = [stage.worker(f"i-{n:06d}") for n in range(machines)]
+    workers = [stage.worker(f"i-{n:06d}", site="abc"[n % 3]) for n in range(machines)]
     stage.ready(*workers)
     stage.later(policy().silence_s + 1.0)
     for worker in workers[silent:]:
@@ -497,6 +497,37 @@
     assert len(stage.leader.renter.to_give_up(stage.clock())) == silent
 
 
+def test_a_zone_that_is_cut_off_is_waited_for_and_not_rented_in(stage: Stage) -> None:
+    """Found in inc-08d3: a hundred machines were released, and new ones rented in the cut zone
+    came up as silent; when the cut was over, none of the old ones was there any more."""
+    cut = [stage.worker(f"i-{n:06d}", site="b") for n in range(4)]
+    others = [stage.worker(f"i-{n:06d}", site="a") for n in range(4, 14)]
+    stage.ready(*cut, *others)
+    lease_s = settings().params.workers.lease_s
+    for _ in range(int(lease_s)):
+        stage.later(1.5)
+        for worker in others:
+            stage.exchange(worker)
+    stage.leader.ctx.picture.expire(stage.clock())
+    assert stage.leader.renter.to_give_up(stage.clock()) == []
+    assert stage.leader.renter.dark == {"b"}
+    stage.accept(pieces=800, vcpus=32.0)
+    rent(stage)
+    rent(stage)
+    assert stage.cloud.requests and {hire.site for hire in stage.cloud.requests} <= {"a", "c"}
+    for worker in cut:  # the cut is over
+        worker.tenure += 1
+        stage.exchange(worker)
+    assert stage.leader.renter.to_give_up(stage.clock()) == [] and not stage.leader.renter.dark
+    for _ in range(120):
+        stage.later(1.5)
+        for worker in others:
+            stage.exchange(worker)
+    stage.leader.ctx.picture.expire(stage.clock())
+    chosen = stage.leader.renter.to_give_up(stage.clock())
+    assert [why for _machine, why in chosen].count("silent") == len(cut)  # not for ever
+
+
 def test_machines_falling_silent_one_after_another_are_not_released(stage: Stage) -> None:
     """Found on a day of our own: the first of many to fall silent looked like few."""
     workers = [stage.worker(f"i-{n:06d}") for n in range(9)]
