--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -124,8 +124,8 @@
         for machine in self.ctx.picture.machines.values():
             since = machine.heard_at
             if since is None:
-                if machine.recorded and machine.may_hold_until is not None:
-                    since = self.ctx.began  # known from an earlier term
+                if machine.recorded:
+                    since = self.ctx.began  # heard in an earlier term
                 else:
                     patience = self.ctx.policy.boot_patience * machine.flavour.ready_s
                     if now - machine.rented_at > max(patience, 60.0):
