--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -465,17 +465,9 @@
         cards = sum(job.shortfall * job.run.cards for job in jobs)
         vcpus = sum(job.shortfall * job.run.vcpus for job in jobs)
         self._plenty_vcpus = sum(max(0.0, r.vcpus) for r in self._rooms) >= PLENTY * vcpus
-        # A card counts if there are processors beside it: free, or held by lesser work.
+        # A card counts if there are processors left beside it.
         beside = max(self._per_card.vcpus, 1e-3)
-        usable = 0.0
-        for room in self._rooms:
-            if room.cards > 0 and usable < PLENTY * cards:
-                lesser = sum(
-                    held.job.run.vcpus
-                    for held in room.machine.holds.values()
-                    if held.job is not None and held.job.rank > self._per_card.rank
-                )
-                usable += min(room.cards, (room.vcpus + lesser) // beside)
+        usable = sum(min(r.cards, r.vcpus // beside) for r in self._rooms if r.cards > 0)
         self._plenty_cards = usable >= PLENTY * cards
 
     def _candidates(self, job: Job) -> Allowed:
--- a/src/ryewing/policy.py
+++ b/src/ryewing/policy.py
@@ -56,7 +56,7 @@
         hold_s=max(0.5, workers.cancel_s - workers.lease_s - margin),
         gather_s=3.0,
         silence_s=min(0.6 * workers.lease_s, 2.5 * workers.report_s),
-        idle_return_s=20.0,
+        idle_return_s=40.0,
         boot_patience=4.0,
         drain_target_s=45.0,
         sample=64,
--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -124,7 +124,7 @@
         for machine in self.ctx.picture.machines.values():
             since = machine.heard_at
             if since is None:
-                if machine.recorded:
+                if machine.recorded or machine.vacant:
                     since = self.ctx.began  # heard in an earlier term
                 else:
                     patience = self.ctx.policy.boot_patience * machine.flavour.ready_s
@@ -244,6 +244,7 @@
             and not m.quarantined
             and not m.usable()
             and m.unheeding_since is None
+            and not m.vacant
             and not m.retiring
             and m.site not in self.dark
             and m.warning_s is None
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -528,6 +528,59 @@
     assert [why for _machine, why in chosen].count("silent") == len(cut)  # not for ever
 
 
+def test_a_machine_whose_lease_is_over_blocks_no_successor(stage: Stage) -> None:
+    """Found in inc-08d3: kept machines of a cut zone stopped all older work after a take-over."""
+    silent, heard = stage.worker("i-000001", site="b"), stage.worker("i-000002")
+    stage.ready(silent, heard)
+    job = stage.begin(silent, pieces=1, site="b")
+    stage.accept("run-2", pieces=1)
+    stage.exchange(silent)
+    stage.later(settings().params.workers.lease_s + 1.0)
+    stage.exchange(heard)
+    for machine in stage.leader.ctx.picture.expire(stage.clock()):
+        stage.leader.writer.to_record.add(machine.id)  # as the tending loop does
+    machine = stage.leader.ctx.picture.machines[MachineId(silent.name)]
+    assert not machine.usable() and stage.holds() == {}
+    stage.write()
+    stage.new_leader(6)
+    stage.exchange(heard)
+    stage.exchange(heard)
+    stage.place()
+    assert "run-2/0" in stage.holds(heard.name)
+    # Back again, it is recorded anew before it may be given anything.
+    silent.tenure += 1
+    silent.pieces.clear()
+    stage.exchange(silent)
+    stage.exchange(silent)
+    back = stage.leader.ctx.picture.machines[MachineId(silent.name)]
+    assert back.handshaken and not back.usable()
+    stage.write()
+    assert back.usable()
+    stage.place()
+    assert list(stage.holds()) == [f"{job}/0"]
+
+
+def test_a_lease_that_ends_while_its_record_is_under_way_records_nothing(stage: Stage) -> None:
+    worker = stage.worker()
+    stage.exchange(worker)
+    machine = stage.leader.ctx.picture.machines[MachineId(worker.name)]
+    real = stage.store.txn
+
+    def overtaken(conditions: Any, writes: Any) -> Any:
+        stage.later(settings().params.workers.lease_s + 1.0)
+        stage.leader.ctx.picture.expire(stage.clock())
+        return real(conditions, writes)
+
+    stage.store.txn = overtaken  # type: ignore[method-assign]
+    stage.leader.writer.write_once()
+    assert not machine.recorded
+    stage.store.txn = real  # type: ignore[method-assign]
+    worker.tenure += 1
+    stage.exchange(worker)
+    stage.write()
+    assert machine.recorded
+
+
 def test_machines_falling_silent_one_after_another_are_not_released(stage: Stage) -> None:
     """Found on a day of our own: the first of many to fall silent looked like few."""
     workers = [stage.worker(f"i-{n:06d}") for n in range(9)]
