--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -262,8 +262,10 @@
         for job, count in self.placer.short:
             waiting[job.run.jobclass] = waiting.get(job.run.jobclass, 0) + count
         log.info(
-            "event=state jobs=%d machines=%s short=%s",
+            "event=state jobs=%d passes=%d looked=%d machines=%s short=%s",
             len(self.ctx.book.jobs),
+            self.placer.passes,
+            self.placer.looked,
             ",".join(
                 f"{kind}:{int(n)}(up={int(up)};vcpus_free={v:g};cards_free={c:g})"
                 for kind, (n, up, v, c) in sorted(kinds.items())
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -21,7 +21,8 @@
 
 log = logging.getLogger("ryewing.placer")
 
-PASS_GAP_S = 0.1
+PASS_GAP_S = 0.2
+"""The least pause between passes: a start waits for a report anyway, which takes half a second."""
 CARDS_HALF_S = 60.0
 
 
@@ -39,6 +40,8 @@
         self.cards_wanted = 0.0
         """The cards in use and asked for; the memory of it halves in a minute."""
         self._cards_seen_at = ctx.began
+        self.passes = self.looked = 0
+        """Passes made in this term, and machines that they looked at: their cost."""
         self._attempts = 0
         self._reserved_for: JobId | None = None
 
@@ -118,6 +121,8 @@
             gang, kept = plan.reserved
             log.info("event=reserved job=%s machines=%d", gang.id, len(kept))
         self._reserved_for = plan.reserved[0].id if plan.reserved is not None else None
+        self.passes += 1
+        self.looked += plan.looked
         planned: set[MachineId] = set()
         for batch in plan.batches:
             self._apply(batch, now)
