--- a/src/ryewing/fleet.py
+++ b/src/ryewing/fleet.py
@@ -12,7 +12,7 @@
 from .picture import Machine
 from .placement import allows
 from .policy import Policy
-from .units import MachineId, Steady, Zone
+from .units import MachineId, Steady
 from .wire import Flavour, Run
 
 Option = tuple[str, str, bool]
@@ -74,14 +74,8 @@
     return flavour.spot_price if flavour.spot_price is not None else flavour.price
 
 
-def options_for(
-    job: Job,
-    flavours: dict[str, Flavour],
-    shelf: Shelf,
-    now: Steady,
-    dark: frozenset[Zone] = frozenset(),
-) -> list[Option]:
-    """List what could be rented for a job, the best first; nothing in zones that are cut off.
+def options_for(job: Job, flavours: dict[str, Flavour], shelf: Shelf, now: Steady) -> list[Option]:
+    """List what could be rented for a job, the best first.
 
     By the price of one task's place; what boots or fetches much slower than it saves is left
     to the order of prices, since the price difference between types is larger.
@@ -103,7 +97,7 @@
         if flavour.cards and not run.cards:
             share *= 4.0  # cards left idle are dear; only if nothing else can be had
         for site in flavour.sites:
-            if (run.site is not None and site != run.site) or site in dark:
+            if run.site is not None and site != run.site:
                 continue
             for spot in (True, False):
                 if spot and (not run.loaner or flavour.spot_price is None):
@@ -122,7 +116,6 @@
     shelf: Shelf,
     policy: Policy,
     now: Steady,
-    dark: frozenset[Zone] = frozenset(),
 ) -> list[Wish]:
     """Turn what is short into machines to rent, beyond those that are booting."""
     room = [[m.flavour.vcpus, m.flavour.cards, m.flavour.mem_gb] for m in booting]
@@ -142,7 +135,7 @@
             left -= fit
         if left <= 0:
             continue
-        options = options_for(job, flavours, shelf, now, dark)
+        options = options_for(job, flavours, shelf, now)
         if not options:
             continue
         places = per_machine(run, flavours[options[0][0]])
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -212,8 +212,6 @@
             self._log_state(now)
             for machine in self.ctx.picture.expire(now):
                 log.info("event=lease-over machine=%s", machine.id)
-                self.writer.to_record.add(machine.id)
-                self.ctx.write.set()
                 self.ctx.place.set()
             if not self.ctx.authority.may_answer(now):
                 continue
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -130,7 +130,6 @@
         "shown",
         "site",
         "unheeding_since",
-        "vacant",
         "vcpus",
         "version",
         "warned_at",
@@ -157,8 +156,6 @@
         """Since when its messages come although it doesn't hear ours."""
         self.recorded = False
         """The store holds the machine, so that a successor knows that it may have tasks."""
-        self.vacant = False
-        """Its lease is surely over, and it was not heard since."""
         self.heard_at: Steady | None = None
         self.may_hold_until: Steady | None = None
         """Until then its lease may run. None: the worker was never answered by anybody."""
@@ -378,10 +375,6 @@
             if machine.may_hold_until is not None and now >= machine.may_hold_until:
                 machine.may_hold_until = None
                 machine.lapsed = machine.version.tenure
-                # It holds nothing, and is to be recorded anew before it may hold anything: so a
-                # successor needs not wait for what it might hold.
-                machine.vacant = True
-                machine.recorded = False
                 self.clear_out(machine, now)
                 ended.append(machine)
         return ended
@@ -420,7 +413,6 @@
             machine.shown.clear()
             machine.ended.clear()
         machine.version = version
-        machine.vacant = False
         machine.heard_at = now
         if report.addr:
             machine.addr = report.addr
--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -29,8 +29,6 @@
 LIST_EVERY_S = 4.0
 FLAVOURS_EVERY_S = 60.0
 UNHEARD_EXTRA_S = 0.5
-DARK_PATIENCE_S = 150.0
-"""How long machines of a zone that is cut off are paid for: a new one costs a minute at least."""
 RETIRE_SHARE = 0.01
 """The part of the fleet that stops taking work in one step."""
 LATE_AFTER = 1.3
@@ -50,8 +48,6 @@
         self.cloud = Cloud(parse_address(ctx.settings.endpoints.cloud), ctx.settings.params.cloud)
         self.shelf = fleet.Shelf()
         self.pending_hires: dict[str, Hire] = {}
-        self.dark: set[Zone] = set()
-        """Zones most of whose machines are silent: cut off, rather than lost one by one."""
         self._hires = 0
         self._listed_at = Steady(-1e9)
         self._flavours_at = Steady(-1e9)
@@ -110,12 +106,9 @@
         """Machines that are better released than waited for.
 
         When many fall silent at once the fault may be on our side, and then each is only given
-        up once its lease is over and nothing on it can be lost. Machines of a zone that is cut off
-        are kept for longer: they come back with it, booted and with their images, whereas new ones
-        there would be as silent.
+        up once its lease is over and nothing on it can be lost.
         """
-        silent: list[tuple[Machine, float]] = []
-        zones: dict[Zone, list[int]] = {}
+        silent: list[Machine] = []
         unheeding: list[Machine] = []
         lease_s = self.ctx.settings.params.workers.lease_s
         result: list[tuple[Machine, str]] = []
@@ -124,7 +117,7 @@
         for machine in self.ctx.picture.machines.values():
             since = machine.heard_at
             if since is None:
-                if machine.recorded or machine.vacant:
+                if machine.recorded:
                     since = self.ctx.began  # heard in an earlier term
                 else:
                     patience = self.ctx.policy.boot_patience * machine.flavour.ready_s
@@ -132,8 +125,6 @@
                         result.append((machine, "never-booted"))
                     continue
             known += 1
-            zone = zones.setdefault(machine.site, [0, 0])
-            zone[0] += 1
             late += now - since > late_s
             # A machine that has answered neither the handshake nor reported since the take-over
             # blocks whatever it may hold, so it is waited for no longer than the gathering.
@@ -141,20 +132,13 @@
             if machine.heard_at is None:
                 patience = min(patience, self.ctx.policy.gather_s + UNHEARD_EXTRA_S)
             if now - since > patience:
-                silent.append((machine, now - since))
-                zone[1] += 1
+                silent.append(machine)
             elif machine.unheeding_since is not None and now - machine.unheeding_since > lease_s:
                 unheeding.append(machine)
         # Judged by those that are late by one report, not by those silent for long: when all
         # fall silent, their last reports lie an interval apart.
         few = late <= max(2, known // 3)
-        dark = {site for site, (there, gone) in zones.items() if gone > max(2, there // 2)}
-        if dark != self.dark:
-            log.info("event=dark-zones zones=%s", ",".join(sorted(dark)) or "-")
-            self.dark = dark
-        for machine, silent_s in silent:
-            if machine.site in dark and silent_s <= DARK_PATIENCE_S:
-                continue
+        for machine in silent:
             if few or machine.may_hold_until is None:
                 result.append((machine, "silent"))
         if few and len(unheeding) <= max(2, known // 3):
@@ -244,19 +228,11 @@
             and not m.quarantined
             and not m.usable()
             and m.unheeding_since is None
-            and not m.vacant
             and not m.retiring
-            and m.site not in self.dark
             and m.warning_s is None
         ]
         for wish in fleet.wishes(
-            self.placer.short,
-            booting,
-            self.ctx.flavours,
-            self.shelf,
-            self.ctx.policy,
-            now,
-            frozenset(self.dark),
+            self.placer.short, booting, self.ctx.flavours, self.shelf, self.ctx.policy, now
         )[:2]:
             sku, site, spot = wish.options[0]
             self._hires += 1
--- a/src/ryewing/writer.py
+++ b/src/ryewing/writer.py
@@ -123,7 +123,7 @@
             if machine is None:
                 self.to_record.discard(name)
                 continue
-            heard = machine.heard_at is not None and not machine.vacant
+            heard = machine.heard_at is not None
             record = MachineRecord(
                 machine.flavour.sku, machine.site, machine.loaner, machine.addr, heard
             )
@@ -243,10 +243,9 @@
 
     def _recorded(self, machines: list[tuple[Machine, bool]]) -> None:
         for machine, heard in machines:
-            if heard or machine.vacant or machine.heard_at is None:
+            if heard or machine.heard_at is None:
                 self.to_record.discard(machine.id)
-            # Written as heard: it may be given tasks, unless its lease has ended meanwhile.
-            machine.recorded = machine.recorded or (heard and not machine.vacant)
+            machine.recorded = machine.recorded or heard
         self.ctx.place.set()
 
     def _finishes_written(self, jobs: list[tuple[Job, set[int]]]) -> None:
