--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -91,10 +91,10 @@
         if not jobs:
             self.short = []
             return
-        jobs = self._ordered(jobs)
-        overdue = queueing.overdue(jobs, wall_now())
         for wanting in jobs:
             self._per_card = self._per_card.widened(wanting)
+        jobs = self._ordered(jobs)
+        overdue = queueing.overdue(jobs, wall_now())
         fresh = now - 2.5 * self.ctx.settings.params.workers.report_s
         rooms = []
         for machine in self.ctx.picture.machines.values():
@@ -145,10 +145,12 @@
 
     def _ordered(self, jobs: list[Job]) -> list[Job]:
         cards, vcpus = queueing.Supply(), queueing.Supply()
+        beside = max(self._per_card.vcpus, 1e-3)
         for machine in self.ctx.picture.machines.values():
             if machine.usable():
-                cards.total += machine.flavour.cards
-                cards.free += machine.cards
+                free = min(machine.cards, max(0.0, machine.vcpus) // beside)
+                cards.total += machine.flavour.cards - machine.cards + free
+                cards.free += free
                 vcpus.total += machine.flavour.vcpus
                 vcpus.free += machine.vcpus
         return queueing.order(jobs, self.ctx.settings.params.objectives, cards, vcpus, wall_now())
--- a/src/ryewing/queueing.py
+++ b/src/ryewing/queueing.py
@@ -28,7 +28,11 @@
 
 
 class Supply:
-    """How much of the deciding resource there is, and how much of it is free."""
+    """How much of the deciding resource can be used, and how much of that is free.
+
+    What nobody can use must not count: with cards that have no processors beside them taken for
+    supply, more jobs were thought to be on time than could be, and then all of them were late.
+    """
 
     __slots__ = ("free", "total")
 
@@ -82,9 +86,13 @@
 
 
 def _rank_order(
-    jobs: Sequence[Job], times: dict[Job, tuple[WallTime, ...]], supply: Supply, now: WallTime
+    jobs: Sequence[Job],
+    times: dict[Job, tuple[WallTime, ...]],
+    supply: Supply,
+    before: float,
+    now: WallTime,
 ) -> list[Job]:
-    """Order the jobs of one rank that compete for one resource."""
+    """Order the jobs of one rank that compete for one resource, after the work before them."""
     first: list[Job] = []
     rest: list[Job] = []
     for job in jobs:
@@ -92,7 +100,7 @@
     first.sort(key=lambda job: (job.at, job.id))
     total = max(supply.total, 1e-3)
     done: list[Job] = []
-    load = 0.0
+    load = before
     level = 0
     while rest:
         dated: list[tuple[WallTime, str, Job]] = []
@@ -148,6 +156,12 @@
         key = (not job.guaranteed, job.rank, job.run.cards <= 0)
         groups.setdefault(key, []).append(job)
     result: list[Job] = []
+    before = {False: 0.0, True: 0.0}
     for key in sorted(groups):
-        result.extend(_rank_order(groups[key], times, vcpus if key[2] else cards, now))
+        cardless = key[2]
+        supply = vcpus if cardless else cards
+        result.extend(_rank_order(groups[key], times, supply, before[cardless], now))
+        before[cardless] += sum(
+            job.shortfall * demand(job) * job.estimate_s() for job in groups[key] if not job.endless
+        )
     return result
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -643,6 +643,17 @@
     assert order_of(jobs, 16.0, 5.0) == ["run-2", "run-3", "run-1"]
 
 
+def test_work_before_a_rank_is_not_supply_for_it() -> None:
+    """Found on a drawn day: what goes first was not counted, so all of the rest was late."""
+    first = job("run-1", at=0.0, pieces=12, vcpus=1.0, rank="urgent")
+    rest = [
+        job("run-2", at=0.0, pieces=12, vcpus=1.0),  # in time alone, not after the first
+        job("run-3", at=0.5, pieces=2, vcpus=1.0),
+    ]
+    assert order_of(rest, 16.0, 1.0) == ["run-2", "run-3"]
+    assert order_of([*rest, first], 16.0, 1.0) == ["run-1", "run-3", "run-2"]
+
+
 def test_far_overdue_jobs_come_first() -> None:
     jobs = [job("run-1", at=0.0, pieces=1000), job("run-2", at=390.0)]
     assert order_of(jobs, 16.0, 300.0)[0] == "run-2"
