--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -6,13 +6,16 @@
 from __future__ import annotations
 
 import copy
+from typing import Any
 
 import pytest
 from stage import Stage, starts
 from standins import FakeWorker, policy, settings
 
+from ryewing.leadership import campaign, may_campaign, read_view
 from ryewing.picture import PLANNED, RUNNING, SENT
-from ryewing.units import MachineId, Term, token_of
+from ryewing.store import StoreDown
+from ryewing.units import MachineId, NodeName, Term, token_of
 from ryewing.wire import Report
 
 LEASE_S = settings().params.workers.lease_s
@@ -264,3 +267,28 @@
     assert worker.mandate >= token_of(Term(6))
     assert old.on_report(worker.report()) is None
     assert "overruled" in stage.lost
+
+
+def test_a_controller_back_in_the_middle_of_an_election(stage: Stage) -> None:
+    """Its own earlier bid comes late, and copies of the bid that won: neither changes anything."""
+    store: Any = stage.store
+    sent: list[tuple[Any, Any]] = []
+    real = store.txn
+
+    def recorded(conditions: Any, writes: Any) -> Any:
+        sent.append((dict(conditions), list(writes)))
+        if len(sent) == 1:
+            raise StoreDown("the process ended before the answer")
+        return real(conditions, writes)
+
+    store.txn = recorded
+    node = NodeName("n-0")
+    with pytest.raises(StoreDown):
+        campaign(store, read_view(store), node, "before", 3.0, 15.0)
+    won = campaign(store, read_view(store), node, "after", 3.0, 15.0)
+    assert won is not None
+    for conditions, writes in [*sent, *sent]:
+        assert not real(conditions, writes).ok
+    view = read_view(store)
+    assert view.holder is not None and (view.holder.boot, view.term) == ("after", won.term)
+    assert not may_campaign(view, node, "after") and may_campaign(view, node, "again")
