--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -680,7 +680,7 @@
         self._warm_only = self._cold_left <= 0 or not self._may_go_cold(job, rooms, candidates)
         if not whole and candidates.fetch_s(job.run) > SEED_S:
             self._waiting.append(job)
-        if job.run.cards <= 0 and job.rank < self._per_card.rank:
+        if job.run.cards <= 0 and job.rank < self._per_card.rank and not self._mending(job):
             # Important enough to need no reserve: first stop lesser work where there are no or
             # few cards, since a task that runs for minutes beside idle ones costs more.
             for cards in sorted({room.machine.flavour.cards for room in rooms}):
@@ -738,6 +738,11 @@
             left -= self._preempt(job, left, rooms, whole)
         return wanted - left
 
+    @staticmethod
+    def _mending(job: Job) -> bool:
+        """Tell whether this is a gang that lacks some of its members."""
+        return job.gang and bool(job.live)
+
     def _may_go_cold(self, job: Job, rooms: list[Room], candidates: Allowed) -> bool:
         """Delay scheduling: wait a little for a machine that has the image.
 
@@ -830,10 +835,13 @@
         # The design says fullest first. Before that come: machines that aren't slow; machines
         # whose cards it would not strand; the image, since a fetch takes longer than most tasks
         # wait; and for jobs that may use spot machines those, since other jobs can only use the
-        # ordinary ones.
+        # ordinary ones. A gang that lacks a member looks for the image first: all others wait, and
+        # give up in turn, until the new one has it.
+        mending = self._mending(job)
         fitting.sort(
             key=lambda r: (
                 r.machine.slow(),
+                r.fetch_rank(run, True) if mending else 0,
                 strands_cards(run, r.machine),
                 r.fetch_rank(run, job.gang),
                 r.wanted[run.cards > 0] if r.machine.warmth(run.bundle) == COLD else 0,
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -601,6 +601,21 @@
         assert array not in [one for one, _count in plan.short]  # and nothing is rented for it
 
 
+def test_a_gang_that_lacks_a_member_gets_it_where_the_image_is() -> None:
+    """Found on a busy day: each that gave up was replaced where it had to fetch, for minutes."""
+    world = World()
+    world.machine("i-1")  # without cards, so first by rights
+    warm, other = world.machine("i-2", GPU), world.machine("i-3")
+    warm.note_image("img-1", 5.0)
+    world.job("run-9", cards=1.0)  # there is work with cards, less important
+    gang = world.job("run-1", shape="group", rank="urgent", pieces=2, vcpus=20.0, image_gb=5.0)
+    world.put(gang, other, 1)
+    assert spread_of(world.plan(gang)) == {"i-2": 1}
+    none = queueing.Supply()
+    jobs = [world.job("run-8", rank="production"), gang]
+    assert queueing.order(jobs, [], none, none, WallTime(0.0))[0] is gang
+
+
 def test_a_gang_avoids_machines_that_are_fetching() -> None:
     """Found on a busy day: one member's image came 40 s late, and the others gave up in turn."""
     world = World()
