--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -152,6 +152,10 @@
         As many as one request takes: what was not in it is not gone.
         """
         chosen = chosen[:RELEASE_MAX]
+        if not self.ctx.may_start():
+            # Requests were made, or the process stood still, since this was decided: a successor
+            # may use these machines by now.
+            return
         for machine, _why in chosen:
             machine.leaving = True
         try:
--- a/src/ryewing/store.py
+++ b/src/ryewing/store.py
@@ -10,16 +10,21 @@
 from typing import Any, TypeVar
 from urllib.parse import quote
 
+import gevent
 import msgspec
 
 from .settings import Address, StateLimits
 from .transport import HttpClient, Reply, Unreachable
-from .units import Epoch, Stamp, Steady, steady_now
+from .units import Epoch, Stamp
 from .wire import ChangeLog, Entry, EntryPage, HoldAnswer, TxnAnswer
 
 DEADLINE_S = 1.0
-ALONE_S = 2.0
-"""How long a node that was alone in losing the store asks its peers first."""
+DIRECT_S = 0.5
+"""How long the store is waited for where a peer can be asked next, so that a user is told within a
+second."""
+PROBE_S = 2.0
+"""How often a node that was alone in losing the store tries again whether it can be reached."""
+PROBE_KEY = "lead/term"
 T = TypeVar("T")
 Relay = Callable[[str, str, bytes | None], Reply | None]
 
@@ -94,7 +99,7 @@
         self._watches = HttpClient(address, 2)
         self.limits = limits
         self.relay: Relay | None = None
-        self._alone_until = Steady(0.0)
+        self._alone = False
 
     def raw(
         self, method: str, path: str, body: bytes | None, deadline_s: float = DEADLINE_S
@@ -112,22 +117,39 @@
 
     def _ask(self, method: str, path: str, body: bytes | None = None) -> Reply:
         relay = self.relay
-        if relay is not None and steady_now() < self._alone_until:
+        if relay is None:
+            return self.raw(method, path, body)
+        if self._alone:
             relayed = relay(method, path, body)
             if relayed is not None:
                 return relayed
         try:
-            return self.raw(method, path, body)
+            return self.raw(method, path, body, DIRECT_S)
         except Throttled:
             raise
         except StoreDown:
-            relayed = relay(method, path, body) if relay is not None else None
+            relayed = relay(method, path, body)
             if relayed is None:
                 raise
-            # A peer has reached it: the fault is on this node's side.
-            self._alone_until = Steady(steady_now() + ALONE_S)
+            # A peer has reached it: the fault is on this node's side. It is tried again in the
+            # background; a user's request that did so every two seconds took longer than a second.
+            if not self._alone:
+                self._alone = True
+                gevent.spawn(self._probe)
             return relayed
 
+    def _probe(self) -> None:
+        """Find out when the store can be reached from here again."""
+        while self._alone:
+            gevent.sleep(PROBE_S)
+            try:
+                self.raw("GET", f"/store/{PROBE_KEY}", None)
+            except Throttled:
+                pass  # it has answered
+            except StoreDown:
+                continue
+            self._alone = False
+
     def get(self, key: str) -> Entry | None:
         """Read one key."""
         reply = self._ask("GET", f"/store/{quote(key)}")
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import copy
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -14,9 +15,10 @@
 
 from ryewing.leadership import campaign, may_campaign, read_view
 from ryewing.picture import PLANNED, RUNNING, SENT
-from ryewing.store import StoreDown
+from ryewing.store import Store, StoreDown
+from ryewing.transport import Reply
 from ryewing.units import MachineId, NodeName, Term, token_of
-from ryewing.wire import Report
+from ryewing.wire import Hire, Report
 
 LEASE_S = settings().params.workers.lease_s
 REPORT_S = settings().params.workers.report_s
@@ -257,6 +259,69 @@
     assert (stage.leader.poll(job) is not None) is starts_work
 
 
+def test_a_node_alone_in_losing_the_store_makes_no_user_find_that_out_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found on a day with controllers apart: every two seconds one submission waited a second."""
+    spawned: list[Callable[[], None]] = []
+    monkeypatch.setattr("ryewing.store.gevent.spawn", spawned.append)
+    monkeypatch.setattr("ryewing.store.gevent.sleep", lambda _seconds: None)
+    store = Store(("127.0.0.1", 1), settings().params.state)
+    direct: list[bool] = []
+    answers = [False] * 4 + [True] * 9
+
+    def raw(_method: str, _path: str, _body: bytes | None, _deadline_s: float = 1.0) -> Reply:
+        direct.append(answers.pop(0))
+        if not direct[-1]:
+            raise StoreDown("cut")
+        return Reply(404, b"{}")
+
+    monkeypatch.setattr(store, "raw", raw)
+    store.relay = lambda _method, _path, _body: Reply(404, b"{}")
+    for _ in range(20):
+        assert store.get("f/run-1") is None
+    assert direct == [False] and len(spawned) == 1
+    spawned[0]()  # in the background, until the store answers
+    assert direct == [False] * 4 + [True]
+    store.get("f/run-1")
+    assert direct[-2:] == [True, True]
+
+
+@pytest.mark.parametrize("act", ["start", "rent", "repeat", "release", "tell", "halt"])
+def test_what_was_decided_before_a_standstill_is_not_sent_after_it(stage: Stage, act: str) -> None:
+    """The clocks run on while a process stands still; a successor may have decided otherwise."""
+    worker = stage.ready_worker()
+    job = stage.accept(pieces=4)
+    stage.place()
+    leader = stage.leader
+    machine = leader.ctx.picture.machines[MachineId(worker.name)]
+    if act == "halt":
+        stage.exchange(worker)
+        leader.intake.take_cancel(job)  # a stop for each task, to be sent directly
+    stage.later(policy().hold_s + 1.0 if act == "halt" else 5.0, renewed=False)
+    if act == "start":
+        answer = leader.on_report(worker.report())
+        assert answer is not None and not starts(answer.orders)
+    elif act == "rent":
+        leader.renter.hire(Hire("r-5-9", "c32", "a", False, 1))
+        assert not stage.cloud.requests
+    elif act == "repeat":
+        leader.renter.pending_hires["r-4-1"] = Hire("r-4-1", "c32", "a", False, 1)
+        leader.renter.hire(leader.renter.pending_hires["r-4-1"])
+        assert not stage.cloud.requests and "r-4-1" in leader.renter.pending_hires
+    elif act == "release":
+        leader.renter.release([(machine, "idle")])
+        assert not stage.cloud.released and not machine.leaving
+    elif act == "tell":
+        assert leader.poll(job) is None
+    else:
+        leader.dispatch.send(machine)
+        assert not leader.dispatch.workers.sent  # type: ignore[attr-defined]
+        stage.later(0.0)
+        leader.dispatch.send(machine)  # as it would have been sent in time
+        assert len(leader.dispatch.workers.sent) == 4  # type: ignore[attr-defined]
+
+
 def test_a_worker_that_has_moved_over_ends_the_old_term(stage: Stage) -> None:
     worker = stage.ready_worker()
     old = stage.leader
