--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -540,8 +540,12 @@
         job.failed_on[machine.id] = now
         machine.faults.add(job.id)
         log.warning("job=%s machine=%s event=task-failed", job.id, machine.id)
-        if len(job.failed_on) >= FAILS_ANYWHERE:
-            # The job is at fault, not the machines.
+        elsewhere = set(job.live.values()) - job.failed_on.keys()
+        failing = len(job.failed_on) >= max(FAILS_ANYWHERE, len(elsewhere) + 1)
+        if failing and not job.done_count:
+            # The job is at fault, not the machines. Not so if it finished tasks or runs on more
+            # machines than it failed on: among hundreds, a large array meets several faulty ones
+            # at once, and each of them was cleared of its fault by that.
             for name in job.failed_on:
                 other = self.machines.get(name)
                 if other is not None:
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -657,6 +657,8 @@
 
     def _place(self, job: Job, most: int | None = None) -> None:
         wanted = job.shortfall if most is None else min(job.shortfall, most)
+        if job.backoff_s and not job.gang:
+            wanted = min(wanted, 1)  # it failed everywhere: one task tells whether it still does
         if wanted <= 0:
             return
         allowed = self._quota.headroom(job.run, wanted)
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -213,7 +213,12 @@
         return False
 
     def _avoid(self, job: Job, machine: Machine) -> bool:
-        return machine.id in job.failed_on
+        """Tell whether a machine failed the job, and the job is not what is at fault.
+
+        A job that fails everywhere tries again anywhere: it avoided each machine for good, and new
+        ones were rented for it until it was cancelled.
+        """
+        return machine.id in job.failed_on and not job.backoff_s
 
     def _next_attempt(self) -> Attempt:
         self._attempts += 1
