--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -512,7 +512,12 @@
         self._zones = Counter(job.zones)
         for machine, count in [p for b in self.plan.batches if b.job is job for p in b.parts]:
             self._zones[machine.site] += count
-        self._warm_only, self._cold_left = False, min(left, self._cold_limit(job, candidates))
+        # The estimate was that warm machines serve it within a fetch. Where they did not, since
+        # others came first on them, it is not held to that: found on a day with a zone cut off.
+        waited = self._now - (job.wanting_since if job.wanting_since is not None else self._now)
+        late = waited > candidates.fetch_s(job.run)
+        self._warm_only = False
+        self._cold_left = left if late else min(left, self._cold_limit(job, candidates))
         rooms = [
             room
             for room in candidates.free(job.run)
@@ -682,6 +687,8 @@
         self._warm_only = self._cold_left <= 0 or not self._may_go_cold(job, rooms, candidates)
         if not whole and candidates.fetch_s(job.run) > SEED_S:
             self._waiting.append(job)
+            if job.wanting_since is None:
+                job.wanting_since = self._now
         if job.run.cards <= 0 and job.rank < self._per_card.rank and not self._mending(job):
             # Important enough to need no reserve: first stop lesser work where there are no or
             # few cards, since a task that runs for minutes beside idle ones costs more.
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -241,7 +241,8 @@
                 attempt = gang_attempt or self._next_attempt()
                 self.ctx.picture.hold(machine, TaskId(job.id, index), attempt, PLANNED, now)
             at += n
-        job.wanting_since = None
+        if job.shortfall <= 0:
+            job.wanting_since = None
         self.ctx.book.touch(job)
         log.info(
             "event=placed job=%s tasks=%d machines=%s cold=%d short=%d guaranteed=%s age_s=%.1f",
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -599,6 +599,9 @@
     assert spread_of(plan) == expected
     if not expected and pieces == 4:
         assert array not in [one for one, _count in plan.short]  # and nothing is rented for it
+        # Once it has waited for as long as a fetch takes, it may use what lies idle.
+        assert spread_of(world.plan(array, filler, now=140.0)) == {}
+        assert spread_of(world.plan(array, filler, now=151.0)) == {"i-2": 1}
 
 
 def test_a_gang_that_lacks_a_member_gets_it_where_the_image_is() -> None:
