--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -26,6 +26,9 @@
 COLD_DELAY_MAX_S = 20.0
 SEED_S = 10.0
 """A fetch longer than this is begun by one task only; the others come when it is done."""
+DEAR_FETCH = 0.5
+"""A fetch longer than this part of the run is dear: begun only for what can't be served without it.
+Cheaper ones are no reason to wait: arrays that run for minutes waited for a fetch of 25 s."""
 BEGIN_SHARE = 0.1
 """The part of an overdue array that goes before everything."""
 PLENTY = 1.5
@@ -622,7 +625,7 @@
         """
         need = self._needs.get(job.run.bundle)
         fetch = candidates.fetch_s(job.run)
-        if need is None or fetch <= SEED_S or need.served <= 0:
+        if need is None or need.served <= 0 or fetch <= max(SEED_S, DEAR_FETCH * job.estimate_s()):
             return job.run.pieces
         unit = demand(job) * job.estimate_s()
         return max(0, math.ceil((need.work - need.served * fetch) / unit))
@@ -716,7 +719,7 @@
                     continue
                 if not room.machine.faults and self._seed_limit(job, room) == 0:
                     left -= room.count(job.run, left, False, self._leave_on(room))
-        if not job.gang and candidates.fetch_s(job.run) > SEED_S:
+        if not job.gang:
             # The rest is served soonest by warm machines: nothing is rented for it.
             left = min(left, max(0, self._cold_left))
         if left > 0 and not self._cut:
