--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -189,9 +189,9 @@
     )
 
 
-def fetch_s(run: Run, machine: Machine) -> float:
-    """Estimate how long the machine takes to fetch the job's image."""
-    return run.image_gb / max(machine.flavour.fetch_gb_per_s, 1e-3)
+def fetch_s(run: Run, gb_per_s: float) -> float:
+    """Estimate how long a machine that fetches at this rate takes for the job's image."""
+    return run.image_gb / max(gb_per_s, 1e-3)
 
 
 def strands_cards(run: Run, machine: Machine) -> float:
@@ -346,7 +346,7 @@
 
     def fetch_s(self, run: Run) -> float:
         """Estimate how long the slowest of these machines takes to fetch the job's image."""
-        return run.image_gb / max(self.slowest_fetch, 1e-3)
+        return fetch_s(run, self.slowest_fetch)
 
     @staticmethod
     def _claim(job: Job) -> tuple[int, bool, str | None]:
@@ -790,7 +790,7 @@
         warmth = room.machine.warmth(run.bundle)
         if job.gang or warmth == WARM or self._plenty(job):
             return run.pieces
-        if fetch_s(run, room.machine) <= SEED_S:
+        if fetch_s(run, room.machine.flavour.fetch_gb_per_s) <= SEED_S:
             return run.pieces
         if warmth == COLD and room.fetches_other(run.bundle):
             return 0  # two at a time take as long as one after the other, and both wait
