--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -23,6 +23,9 @@
 
 PASS_GAP_S = 0.2
 """The least pause between passes: a start waits for a report anyway, which takes half a second."""
+PASS_REST = 9.0
+"""Times its own length that a pass is rested from: passes take a tenth of the time at the most, so
+that a leader that never comes to rest still answers workers, users and health checks first."""
 CARDS_HALF_S = 60.0
 
 
@@ -55,7 +58,7 @@
                 self.run_pass()
             took = time.perf_counter() - began
             # A pass that takes long is made less often, so that reports are always answered.
-            gevent.sleep(max(PASS_GAP_S, 4 * took))
+            gevent.sleep(max(PASS_GAP_S, PASS_REST * took))
 
     def ready_to_place(self) -> bool:
         """Tell whether the rebuild is over: every machine heard, or waited for long enough."""
@@ -210,7 +213,12 @@
         return False
 
     def _avoid(self, job: Job, machine: Machine) -> bool:
-        return machine.id in job.failed_on
+        """Tell whether a machine failed the job, and the job is not what is at fault.
+
+        A job that fails everywhere tries again anywhere: it avoided each machine for good, and new
+        ones were rented for it until it was cancelled.
+        """
+        return machine.id in job.failed_on and not job.backoff_s
 
     def _next_attempt(self) -> Attempt:
         self._attempts += 1
@@ -233,7 +241,8 @@
                 attempt = gang_attempt or self._next_attempt()
                 self.ctx.picture.hold(machine, TaskId(job.id, index), attempt, PLANNED, now)
             at += n
-        job.wanting_since = None
+        if job.shortfall <= 0:
+            job.wanting_since = None
         self.ctx.book.touch(job)
         log.info(
             "event=placed job=%s tasks=%d machines=%s cold=%d short=%d guaranteed=%s age_s=%.1f",
