--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -308,24 +308,18 @@
 def may_preempt(job: Job, held: Hold) -> bool:
     """Tell whether this task may be stopped for the job.
 
-    A guarantee is no protection from a higher rank: it can't stop that in turn, so the two don't
-    stop each other by turns. Where most work with cards was guaranteed, urgent gangs found no room
-    beside a few cards and took whole machines with many. Gangs of several tasks are left alone:
-    stopping one task of them loses the whole gang.
+    Guaranteed work gives way to nobody: otherwise a borrower of higher rank and the owner of a
+    guarantee could stop each other by turns. Gangs of several tasks are left alone: stopping
+    one task of them loses the whole gang.
     """
     other = held.job
-    if other is None or held.phase == SAVING:
+    if other is None or other.guaranteed or held.phase == SAVING:
         return False
     if other.gang and other.run.pieces > 1:
         return False
     if other.rank > job.rank:
         return True
-    return (
-        job.guaranteed
-        and not other.guaranteed
-        and other.run.owner != job.run.owner
-        and other.rank >= job.rank
-    )
+    return job.guaranteed and other.run.owner != job.run.owner and other.rank >= job.rank
 
 
 class Allowed:
