--- a/src/ryewing/queueing.py
+++ b/src/ryewing/queueing.py
@@ -5,7 +5,7 @@
 its owner) want it done, and the jobs are ordered as in Moore and Hodgson's rule: by deadline,
 and whenever one would be late, the largest so far is put off. What is put off tries for its next
 deadline; what has none left goes by age, and is brought to the front when it is far overdue, so
-that everything finishes in the end.
+that everything finishes in the end. So is what is about to miss its last deadline.
 """
 
 from __future__ import annotations
@@ -19,6 +19,8 @@
 
 STARVED_SPANS = 3.0
 """A job that is so many times its longest deadline old goes first in its rank."""
+LAST_CHANCE = 0.3
+"""The part of the time to its last deadline that a job is given to get its places and images."""
 BEGIN_S = 120.0
 """How long the order may put a job off before it has begun at all; it is to begin in twice that."""
 START_S = 3.0
@@ -75,6 +77,19 @@
     return now - job.at > span
 
 
+def last_chance(job: Job, times: Sequence[WallTime], now: WallTime) -> bool:
+    """Tell whether a job will miss even its last deadline unless it goes first now.
+
+    What was put off goes after all that can still make an earlier deadline. Where those never end,
+    a few jobs in a hundred missed every deadline they had, which each counts for. With a single
+    deadline it is the order that decides who makes it.
+    """
+    if len(times) < 2:
+        return False
+    slack = times[-1] - now - job.estimate_s()
+    return 0.0 <= slack < LAST_CHANCE * (times[-1] - job.at)
+
+
 def overdue(jobs: Iterable[Job], now: WallTime) -> list[Job]:
     """Choose the jobs that have waited too long to begin, the most important and oldest first.
 
@@ -96,7 +111,8 @@
     first: list[Job] = []
     rest: list[Job] = []
     for job in jobs:
-        (first if starved(job, times[job], now) else rest).append(job)
+        early = starved(job, times[job], now) or last_chance(job, times[job], now)
+        (first if early else rest).append(job)
     first.sort(key=lambda job: (job.at, job.id))
     total = max(supply.total, 1e-3)
     done: list[Job] = []
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -721,6 +721,20 @@
     assert order_of(jobs, 16.0, 400.0)[0] == "run-1"
 
 
+@pytest.mark.parametrize(
+    ("now", "first"),
+    [
+        (40.0, "run-2"),  # large, and late for 60 s: put off
+        (70.0, "run-1"),  # it makes 120 s only if it goes now
+        (95.0, "run-2"),  # too late for that as well
+    ],
+)
+def test_a_job_about_to_miss_its_last_deadline_comes_first(now: float, first: str) -> None:
+    """Found on a day with a zone cut off: four in a hundred missed every deadline they had."""
+    jobs = [job("run-1", at=0.0, pieces=40, vcpus=1.0), job("run-2", at=now - 1.0, vcpus=1.0)]
+    assert order_of(jobs, 16.0, now)[0] == first
+
+
 def test_rank_and_guarantee_go_before_deadlines() -> None:
     jobs = [job("run-1", rank="idle"), job("run-2", rank="urgent"), job("run-3", rank="idle")]
     jobs[2].guaranteed = True
