--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -18,6 +18,7 @@
 from .intake import Intake
 from .jobs import DONE_PREFIX, LIVE_PREFIX, JobRecord
 from .leadership import Mandate
+from .mesh import ImageHint
 from .placer import Placer
 from .policy import Policy
 from .renter import FLAVOURS_KEY, HIRE_PREFIX, Renter
@@ -49,7 +50,9 @@
         on_final: Callable[[JobId, str], None],
         on_lost: Callable[[str], None],
         on_flavours: Callable[[dict[str, Flavour]], None],
+        hint: ImageHint | None = None,
     ) -> None:
+        self._hint = hint
         self.ctx = TermContext(settings, policy, store, mandate, on_lost, on_flavours)
         self.writer = Writer(self.ctx, on_final, self._on_record)
         self.dispatch = Dispatch(self.ctx, self.writer)
@@ -82,6 +85,10 @@
         """Tell whether more jobs would endanger the memory of this process."""
         return self.intake.full()
 
+    def image_hint(self) -> ImageHint:
+        """Tell what a successor should know of the machines' images."""
+        return ImageHint(int(self.term), *self.ctx.picture.images())
+
     def _on_record(self, data: msgspec.Raw, stamp: Stamp) -> None:
         self.intake.job_set(data, stamp)
 
@@ -199,6 +206,8 @@
                 if kept.heard:
                     machine.recorded = True
                     machine.may_hold_until = until
+        if self._hint is not None:
+            self.ctx.picture.recall_images(self._hint.images, self._hint.machines)
         hires, _ = self.ctx.store.listing(HIRE_PREFIX)
         for entry in hires:
             hire = msgspec.json.decode(entry.data, type=Hire)
--- a/src/ryewing/mesh.py
+++ b/src/ryewing/mesh.py
@@ -47,6 +47,19 @@
     """A follower asks whether the leader can take more jobs."""
 
 
+class ImageHint(msgspec.Struct, tag="images"):
+    """The leader tells which machines have which images, so that a successor need not learn it.
+
+    A hint only: nothing rests on it but where tasks start without a fetch.
+    """
+
+    term: int
+    images: list[tuple[str, float]] = []
+    """Name and size."""
+    machines: dict[str, list[int]] = {}
+    """By machine, places in `images`, the least recently used first."""
+
+
 class RelayAsk(msgspec.Struct, tag="relay"):
     """A node that alone can't reach the store asks through a peer."""
 
@@ -76,7 +89,7 @@
     body: bytes = b""
 
 
-Ask = Union[PollJob, CancelNotice, LeaderNotice, LoadAsk, RelayAsk]
+Ask = Union[PollJob, CancelNotice, LeaderNotice, LoadAsk, ImageHint, RelayAsk]
 Answer = Union[JobState, Ack, RelayAnswer]
 Handler = Callable[[Ask], Answer]
 
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -27,6 +27,7 @@
     Answer,
     Ask,
     CancelNotice,
+    ImageHint,
     JobState,
     LeaderNotice,
     LoadAsk,
@@ -55,6 +56,8 @@
 worker keeps a connection to the leader; what remains is for the store, the cloud and what is sent
 to workers directly (`workers.KEPT_SHARE`)."""
 LOAD_EVERY_S = 1.0
+HINT_EVERY_S = 5.0
+"""How often the leader tells the others which machines have which images."""
 ABSTAIN_S = 15.0
 """How long a node that was cut from the workers leaves leadership to the others."""
 
@@ -80,6 +83,8 @@
         self._abstain_until = Steady(0.0)
         self._full = False
         self._load_asked_at = Steady(-1e9)
+        self._hint: ImageHint | None = None
+        self._hinted_at = Steady(-1e9)
         self._peers = {m.node: Peer(parse_address(m.address)) for m in settings.members}
         self._relay_budget = Budget(0.2 * limits.rps, 0.2 * limits.rps)
         sockets = settings.params.resources.fd_limit
@@ -113,6 +118,7 @@
                 gevent.sleep(0.2)
                 if self.leader is None:
                     return
+                self._share_images(self.leader)
                 continue
             self._note(view)
             wait = self._abstain_until - steady_now()
@@ -138,6 +144,7 @@
                         self.finals.put,
                         self._step_down,
                         self._set_flavours,
+                        self._hint,
                     )
                     log.info("event=leading node=%s term=%d", self.name, mandate.term)
                     self.leader = leader
@@ -183,6 +190,15 @@
         for peer in self._peers.values():
             gevent.spawn(self._ask, peer, notice)
 
+    def _share_images(self, leader: Leader) -> None:
+        now = steady_now()
+        if now - self._hinted_at < HINT_EVERY_S or not leader.placer.gathered:
+            return
+        self._hinted_at = now
+        self._hint = leader.image_hint()
+        for peer in self._peers.values():
+            gevent.spawn(self._ask, peer, self._hint)
+
     def foreign_leader(self) -> str | None:
         """Name the leader to whom workers should be sent, if it is another node."""
         return self._leader_name if self._leader_name != self.name else None
@@ -296,6 +312,10 @@
             return Ack(leader is not None and leader.take_cancel(JobId(ask.job)))
         if isinstance(ask, LoadAsk):
             return Ack(self.leader is None or not self.leader.full())
+        if isinstance(ask, ImageHint):
+            if self._hint is None or ask.term >= self._hint.term:
+                self._hint = ask
+            return Ack(True)
         if isinstance(ask, LeaderNotice):
             if self.leader is not None and ask.term > self.leader.term:
                 self._step_down("notice")
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -343,6 +343,30 @@
             self.machines[name] = machine
         return machine
 
+    def images(self) -> tuple[list[tuple[str, float]], dict[str, list[int]]]:
+        """List the images known to be anywhere, and for each machine which of them it has."""
+        places: dict[str, int] = {}
+        images: list[tuple[str, float]] = []
+        machines: dict[str, list[int]] = {}
+        for machine in self.machines.values():
+            for name, size_gb in machine.images.items():
+                if name not in places:
+                    places[name] = len(images)
+                    images.append((name, size_gb))
+            if machine.images:
+                machines[machine.id] = [places[name] for name in machine.images]
+        return images, machines
+
+    def recall_images(
+        self, images: list[tuple[str, float]], machines: dict[str, list[int]]
+    ) -> None:
+        """Take up what an earlier leader knew; machines that aren't known any more are left out."""
+        for name, places in machines.items():
+            machine = self.machines.get(MachineId(name))
+            for place in places if machine is not None else ():
+                if machine is not None and 0 <= place < len(images):
+                    machine.note_image(*images[place])
+
     def remove(self, machine: Machine, now: Steady) -> None:
         """The machine is certainly gone, and everything on it."""
         self.clear_out(machine, now)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -9,6 +9,7 @@
 from ryewing.jobs import JobRecord, live_key
 from ryewing.leader import Leader
 from ryewing.leadership import TERM_KEY, Authority
+from ryewing.mesh import ImageHint
 from ryewing.store import Put
 from ryewing.units import JobId, MachineId, Stamp, Token
 from ryewing.wire import Order, Report
@@ -44,7 +45,7 @@
         self.finals: dict[JobId, str] = {}
         self.leader = self.new_leader(5)
 
-    def new_leader(self, term: int) -> Leader:
+    def new_leader(self, term: int, hint: ImageHint | None = None) -> Leader:
         authority = Authority(3.0, policy().hold_s)
         authority.confirm(self.clock())
         won = mandate(term, authority)
@@ -58,6 +59,7 @@
             self.finals.__setitem__,
             self.lost.append,
             lambda _flavours: None,
+            hint,
         )
         leader.renter.cloud = self.cloud  # type: ignore[assignment]
         leader.dispatch.workers = DirectWorkers(self.workers)  # type: ignore[assignment]
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -13,7 +13,8 @@
 from ryewing.cloud import CloudDown
 from ryewing.jobs import JobRecord, final_key, live_key
 from ryewing.leadership import campaign, read_view
-from ryewing.picture import GATHERING, PLANNED, RUNNING, SENT
+from ryewing.mesh import ImageHint
+from ryewing.picture import COLD, GATHERING, PLANNED, RUNNING, SENT, WARM
 from ryewing.renter import HIRE_PREFIX
 from ryewing.store import Put, StoreDown
 from ryewing.units import MachineId, NodeName, Stamp, Term, token_of
@@ -608,6 +609,20 @@
     assert len(suspects) == (0 if at_fault else faulty)
 
 
+def test_a_successor_is_told_which_machines_have_which_images(stage: Stage) -> None:
+    """Found with rolling restarts: each leader fetched anew, or waited for the few it knew warm."""
+    worker = stage.ready_worker()
+    stage.begin(worker, pieces=1, bundle="img-7", image_gb=2.0)
+    stage.exchange(worker)
+    told = stage.leader.image_hint()
+    told.machines["i-000999"] = [0, 5]  # gone meanwhile, and a place that there is not
+    again = msgspec.msgpack.decode(msgspec.msgpack.encode(told), type=ImageHint)
+    leader = stage.new_leader(6, again)
+    assert leader.ctx.picture.machines[MachineId(worker.name)].warmth("img-7") == WARM
+    assert leader.ctx.picture.machines[MachineId(worker.name)].warmth("img-8") == COLD
+    assert MachineId("i-000999") not in leader.ctx.picture.machines
+
+
 # -- election -----------------------------------------------------------------------------------
 
 
