--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -158,7 +158,7 @@
         self.guess_factor = 1.0
         """How much longer than guessed the class's tasks were seen to take, within bounds."""
         self.wanting_since: Steady | None = None
-        """Since when some of the job has waited for machines with its image."""
+        """Since when the job has waited for a machine with its image."""
         self._done = bytearray((self.run.pieces + 7) // 8)
         self._returned: list[int] = []
         self._cursor = 0
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -274,10 +274,11 @@
         for job, count in self.placer.short:
             waiting[job.run.jobclass] = waiting.get(job.run.jobclass, 0) + count
         log.info(
-            "event=state jobs=%d passes=%d looked=%d cards=%s machines=%s short=%s",
+            "event=state jobs=%d passes=%d looked=%d stretch=%.2f cards=%s machines=%s short=%s",
             len(self.ctx.book.jobs),
             self.placer.passes,
             self.placer.looked,
+            self.ctx.picture.stretch,
             ",".join(f"{phase}:{n:g}" for phase, n in sorted(phases.items())) or "-",
             ",".join(
                 f"{kind}:{int(n)}(up={int(up)};vcpus_free={v:g};cards_free={c:g})"
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -31,7 +31,7 @@
     term_of,
     token_of,
 )
-from .wire import Flavour, Report, ReportedPiece
+from .wire import Flavour, Report, ReportedPiece, Run
 
 log = logging.getLogger("ryewing.picture")
 
@@ -48,6 +48,9 @@
 FAILS_ANYWHERE = 3
 """A job that failed on so many machines is thought to fail on every one."""
 WARM, FETCHED_NOW, COLD = range(3)
+STRETCH_WEIGHT, STRETCH_FROM_S, SHARED_STRETCH = 0.05, 5.0, 1.3
+"""How fast it is learned whether fetches at once share a machine's rate, from which length on (a
+report tells of the end seconds late), and what says that they do: full sharing doubles them."""
 
 
 class Hold:
@@ -98,6 +101,17 @@
         self.done = done
 
 
+class Fetch:
+    """An image on its way to a machine, as its tasks show it."""
+
+    __slots__ = ("alone", "began")
+
+    def __init__(self, began: Steady, alone: bool) -> None:
+        self.began = began
+        self.alone = alone
+        """No other image was fetched there meanwhile."""
+
+
 class Machine:
     """One machine as far as it is known."""
 
@@ -107,6 +121,7 @@
         "cards",
         "ended",
         "faults",
+        "fetches",
         "flavour",
         "heard_at",
         "heeded",
@@ -178,6 +193,8 @@
         self.images: OrderedDict[str, float] = OrderedDict()
         self.bundles: Counter[str] = Counter()
         """Images of the tasks that are here, so also of those being fetched."""
+        self.fetches: dict[str, Fetch] = {}
+        """Images seen to be fetched."""
         self.faults: set[str] = set()
         self.vcpus = flavour.vcpus
         self.cards = flavour.cards
@@ -210,6 +227,25 @@
             ratio = min(PACE_MAX, took_s / job.run_seen_s)
             self.pace += PACE_WEIGHT * (ratio - self.pace)
 
+    def note_fetch(self, run: Run, fetching: bool, now: Steady) -> float | None:
+        """Take note of a fetch's begin, or its end: then how much longer than thought it took.
+
+        Only of fetches beside others, since whether these share the machine's rate is not known.
+        """
+        if fetching:
+            if run.bundle not in self.fetches and run.bundle not in self.images:
+                for name in [n for n in self.fetches if not self.bundles[n]]:
+                    del self.fetches[name]  # given up
+                for other in self.fetches.values():
+                    other.alone = False
+                self.fetches[run.bundle] = Fetch(now, not self.fetches)
+            return None
+        fetch = self.fetches.pop(run.bundle, None)
+        thought = run.image_gb / max(self.flavour.fetch_gb_per_s, 1e-3)
+        if fetch is None or fetch.alone or thought < STRETCH_FROM_S:
+            return None
+        return (now - fetch.began) / thought
+
     def slow(self) -> bool:
         """Tell whether tasks take much longer here; types and chance make a tenth or two."""
         return self.pace > SLOW_PACE
@@ -236,12 +272,18 @@
         self.book = book
         self.stops = stops
         self.machines: dict[MachineId, Machine] = {}
+        self.stretch = 1.0
+        """How much longer fetches beside others took than alone, as learned."""
         self._planned: set[Hold] = set()
         """Planned lately; those sent since are left out when it is looked through."""
         self.team_vcpus: dict[TeamName, float] = {}
         self.team_cards: dict[TeamName, float] = {}
         self._lease_s = lease_s * (1 + DRIFT) + LEASE_MARGIN_S
 
+    def fetches_share(self) -> bool:
+        """Tell whether images fetched at once seem to share a machine's rate."""
+        return self.stretch > SHARED_STRETCH
+
     def token(self, machine: Machine) -> Token:
         """Give the token for any message to this machine: the highest one sent to it so far."""
         return token_of(self.term, machine.nudges)
@@ -523,8 +565,13 @@
             held = self.hold(machine, task, attempt, piece.status, now)
         else:
             self._set_phase(held, piece.status, now)
-        if held.job is not None and piece.status != FETCHING:
-            machine.note_image(held.job.run.bundle, held.job.run.image_gb)
+        if held.job is not None:
+            run = held.job.run
+            stretch = machine.note_fetch(run, piece.status == FETCHING, now)
+            if stretch is not None:
+                self.stretch += STRETCH_WEIGHT * (stretch - self.stretch)
+            if piece.status != FETCHING:
+                machine.note_image(run.bundle, run.image_gb)
 
     def _absorb_ended(
         self, machine: Machine, task: TaskId, piece: ReportedPiece, now: Steady
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -26,7 +26,7 @@
 COLD_DELAY_MAX_S = 20.0
 SEED_S = 10.0
 """A fetch longer than this is begun by one task only; the others come when it is done."""
-DEAR_FETCH = 0.5
+DEAR_FETCH = 0.25
 """A fetch longer than this part of the run is dear: begun only for what can't be served without it.
 Cheaper ones are no reason to wait: arrays that run for minutes waited for a fetch of 25 s."""
 BEGIN_SHARE = 0.1
@@ -419,6 +419,7 @@
         per_card: PerCard = NO_CARDS,
         cards_kept: float = math.inf,
         avoid: Callable[[Job, Machine], bool] = lambda _job, _machine: False,
+        fetches_share: bool = True,
     ) -> None:
         self._rooms = rooms
         self._quota = quota
@@ -431,6 +432,7 @@
         self._zones: Counter[Zone] = Counter()
         """Where the tasks of the job at hand are, with those placed in this pass."""
         self._avoid = avoid
+        self._fetches_share = fetches_share
         self._groups: dict[tuple[str, Zone, bool], list[Room]] = {}
         for room in rooms:
             machine = room.machine
@@ -786,7 +788,7 @@
             return run.pieces
         if fetch_s(run, room.machine.flavour.fetch_gb_per_s) <= SEED_S:
             return run.pieces
-        if warmth == COLD and room.fetches_other(run.bundle):
+        if warmth == COLD and self._fetches_share and room.fetches_other(run.bundle):
             return 0  # two at a time take as long as one after the other, and both wait
         if self._leftover and warmth == FETCHED_NOW:
             return run.pieces
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -119,6 +119,7 @@
             self._per_card,
             cards_kept,
             self._avoid,
+            self.ctx.picture.fetches_share(),
         ).run(jobs, overdue)
         if plan.reserved is not None and plan.reserved[0].id != self._reserved_for:
             gang, kept = plan.reserved
@@ -241,8 +242,7 @@
                 attempt = gang_attempt or self._next_attempt()
                 self.ctx.picture.hold(machine, TaskId(job.id, index), attempt, PLANNED, now)
             at += n
-        if job.shortfall <= 0:
-            job.wanting_since = None
+        job.wanting_since = None
         self.ctx.book.touch(job)
         log.info(
             "event=placed job=%s tasks=%d machines=%s cold=%d short=%d guaranteed=%s age_s=%.1f",
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -35,7 +35,7 @@
     is_job_id,
     parse_task,
 )
-from ryewing.wire import Flavour, Malformed, read_run
+from ryewing.wire import Flavour, Malformed, Report, ReportedPiece, read_run
 
 T0 = Steady(1000.0)
 
@@ -604,6 +604,26 @@
         assert spread_of(world.plan(array, filler, now=151.0)) == {"i-2": 1}
 
 
+@pytest.mark.parametrize(("took_s", "share"), [(11.0, False), (20.0, True)])
+def test_whether_fetches_share_the_rate_is_learned(took_s: float, share: bool) -> None:
+    """The page says that they may: where not, one after the other cost half of what can be had."""
+    world = World()
+    now = 0.0
+    for n in range(20):
+        machine = world.machine(f"i-{n}")
+        for ref in ("run-1", "run-2"):
+            one = world.job(ref, bundle=ref, image_gb=2.0, pieces=100)  # 10 s at 0.2 GB/s
+            world.put(one, machine, 1)
+        assert not world.picture.fetches_share()
+    for machine in world.picture.machines.values():
+        for status, at in (("fetching", now), ("running", now + took_s)):
+            shown = [ReportedPiece(str(task), 1, status) for task, held in machine.holds.items()]
+            tick = machine.version.tick + 1
+            report = Report(machine.id, 1, tick, 0, "c32", "a", pieces=shown)
+            world.picture.absorb(machine, report, Steady(T0 + at), as_report=True)
+    assert world.picture.fetches_share() is share
+
+
 def test_a_gang_that_lacks_a_member_gets_it_where_the_image_is() -> None:
     """Found on a busy day: each that gave up was replaced where it had to fetch, for minutes."""
     world = World()
