--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -48,7 +48,7 @@
 FAILS_ANYWHERE = 3
 """A job that failed on so many machines is thought to fail on every one."""
 WARM, FETCHED_NOW, COLD = range(3)
-STRETCH_WEIGHT, STRETCH_FROM_S, SHARED_STRETCH = 0.05, 5.0, 1.3
+STRETCH_WEIGHT, STRETCH_FROM_S, SHARED_STRETCH = 0.05, 5.0, 1.2
 """How fast it is learned whether fetches at once share a machine's rate, from which length on (a
 report tells of the end seconds late), and what says that they do: full sharing doubles them."""
 
