--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -11,14 +11,19 @@
 from standins import CPU, GPU, policy, run, settings
 
 from ryewing import placement
+from ryewing.api import STORE_READS_AT_ONCE, SUBMITS_AT_ONCE
 from ryewing.cloud import RELEASE_MAX
+from ryewing.dispatch import SENDS_AT_ONCE
 from ryewing.jobs import DONE_PREFIX, Book, Job, JobRecord, live_key
+from ryewing.mesh import ImageHint
+from ryewing.node import API_SHARE, MESH_SHARE
 from ryewing.packed import Packed
 from ryewing.picture import RUNNING, Picture
 from ryewing.stops import Stops
 from ryewing.store import Put, StoreDown
 from ryewing.units import Attempt, JobId, MachineId, Stamp, Steady, TaskId, Term, Zone, parse_task
 from ryewing.wire import Entry, ReportedPiece
+from ryewing.workers import Workers
 from ryewing.writer import MACHINE_PREFIX
 
 T0 = Steady(1000.0)
@@ -123,6 +128,45 @@
     assert sum(n for batch in plan.batches for _machine, n in batch.parts) >= policy().sample
 
 
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("waiting", [5, 40])
+def test_jobs_that_wait_for_images_look_at_samples(size: int, waiting: int) -> None:
+    """Twice a pass: at machines with the image, and at what lies idle. Never at all of them."""
+    fleet = Fleet(size)
+    for n, machine in enumerate(fleet.picture.machines.values()):
+        machine.note_image(f"img-{n % 7}", 4.0)
+    jobs = [
+        fleet.job(f"run-1{n}", pieces=90, bundle=f"img-{n % 9}", image_gb=10.0, loaner=True)
+        for n in range(waiting)
+    ]
+    plan = fleet.plan(*jobs)
+    assert plan.batches
+    assert plan.looked <= 3 * policy().sample * waiting
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_what_a_successor_is_told_of_images_is_small(size: int) -> None:
+    fleet = Fleet(size)
+    for n, machine in enumerate(fleet.picture.machines.values()):
+        for k in range(8):
+            machine.note_image(f"some-longer-image-name-{(n + k) % 40:02d}", 1.0)
+    hint = msgspec.msgpack.encode(ImageHint(1, *fleet.picture.images()))
+    assert len(hint) <= 2000 + 32 * size  # names once, then a byte for each image of a machine
+
+
+def test_sockets_are_shared_out_by_need() -> None:
+    """A leader of 909 machines had 1,100 connections, and six in ten of its sockets for them."""
+    sockets = 1800
+    workers = Workers(sockets)
+    for n in range(sockets):
+        workers._client(f"10.0.{n // 250}.{n % 250 + 1}:9000")
+    kept = len(workers._clients)
+    store = 6 + 2 + SUBMITS_AT_ONCE + STORE_READS_AT_ONCE
+    others = int(MESH_SHARE * sockets) + kept + SENDS_AT_ONCE + store
+    assert int(API_SHARE * sockets) >= 1.2 * 1100
+    assert int(API_SHARE * sockets) + others <= sockets
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_machines_are_recorded_in_few_writes(stage: Stage, size: int) -> None:
     """One write each took the write rate for many seconds before a first task could start."""
