--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -615,7 +615,8 @@
     stage.begin(worker, pieces=1, bundle="img-7", image_gb=2.0)
     stage.exchange(worker)
     told = stage.leader.image_hint()
-    told.machines["i-000999"] = [0, 5]  # gone meanwhile, and a place that there is not
+    told.machines["i-000999"] = [0]  # gone meanwhile
+    told.machines[worker.name].append(5)  # a place that there is not
     again = msgspec.msgpack.decode(msgspec.msgpack.encode(told), type=ImageHint)
     leader = stage.new_leader(6, again)
     assert leader.ctx.picture.machines[MachineId(worker.name)].warmth("img-7") == WARM
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -604,14 +604,36 @@
         assert spread_of(world.plan(array, filler, now=151.0)) == {"i-2": 1}
 
 
-@pytest.mark.parametrize(("took_s", "share"), [(11.0, False), (20.0, True)])
-def test_whether_fetches_share_the_rate_is_learned(took_s: float, share: bool) -> None:
+def test_room_freed_for_one_job_serves_another_in_the_same_pass() -> None:
+    """Where a task might fit is remembered in a pass, until something is stopped."""
+    world = World()
+    large = world.job("run-9", pieces=1, vcpus=32.0, mem_gb=1.0)
+    world.put(large, world.machine("i-1"), 1)
+    before = world.job("run-1", rank="idle", pieces=1, vcpus=8.0)
+    urgent = world.job("run-2", rank="urgent", pieces=1)
+    after = world.job("run-3", pieces=1, vcpus=8.0)
+    plan = world.plan(before, urgent, after)
+    assert len(plan.stops) == 1
+    assert [one for one, _count in plan.short] == [before]
+
+
+@pytest.mark.parametrize(
+    ("images", "took_s", "share"),
+    [
+        (["run-1", "run-2"], 11.0, False),
+        (["run-1", "run-2"], 20.0, True),
+        (["run-1"], 20.0, False),  # slow by itself: that says nothing of sharing
+    ],
+)
+def test_whether_fetches_share_the_rate_is_learned(
+    images: list[str], took_s: float, share: bool
+) -> None:
     """The page says that they may: where not, one after the other cost half of what can be had."""
     world = World()
     now = 0.0
     for n in range(20):
         machine = world.machine(f"i-{n}")
-        for ref in ("run-1", "run-2"):
+        for ref in images:
             one = world.job(ref, bundle=ref, image_gb=2.0, pieces=100)  # 10 s at 0.2 GB/s
             world.put(one, machine, 1)
         assert not world.picture.fetches_share()
