--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -609,6 +609,9 @@
     world = World()
     large = world.job("run-9", pieces=1, vcpus=32.0, mem_gb=1.0)
     world.put(large, world.machine("i-1"), 1)
+    world.job(
+        "run-8", rank="production", cards=1.0
+    )  # nobody is more important than work with cards
     before = world.job("run-1", rank="idle", pieces=1, vcpus=8.0)
     urgent = world.job("run-2", rank="urgent", pieces=1)
     after = world.job("run-3", pieces=1, vcpus=8.0)
