--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -684,7 +684,7 @@
         self._zones = Counter(job.zones)
         self._cold_left = self._cold_limit(job, candidates)
         self._warm_only = self._cold_left <= 0 or not self._may_go_cold(job, rooms, candidates)
-        if not whole and candidates.fetch_s(job.run) > SEED_S:
+        if not whole and not job.backoff_s and candidates.fetch_s(job.run) > SEED_S:
             self._waiting.append(job)
             if job.wanting_since is None:
                 job.wanting_since = self._now
--- a/src/ryewing/store.py
+++ b/src/ryewing/store.py
@@ -100,6 +100,7 @@
         self.limits = limits
         self.relay: Relay | None = None
         self._alone = False
+        self._direct_s = DIRECT_S
 
     def raw(
         self, method: str, path: str, body: bytes | None, deadline_s: float = DEADLINE_S
@@ -124,19 +125,23 @@
             if relayed is not None:
                 return relayed
         try:
-            return self.raw(method, path, body, DIRECT_S)
+            reply = self.raw(method, path, body, self._direct_s)
         except Throttled:
             raise
         except StoreDown:
             relayed = relay(method, path, body)
             if relayed is None:
+                # Not this node's side: where the store is slow it must be given its time.
+                self._direct_s = DEADLINE_S
                 raise
             # A peer has reached it: the fault is on this node's side. It is tried again in the
             # background; a user's request that did so every two seconds took longer than a second.
             if not self._alone:
                 self._alone = True
+                self._direct_s = DIRECT_S
                 gevent.spawn(self._probe)
             return relayed
+        return reply
 
     def _probe(self) -> None:
         """Find out when the store can be reached from here again."""
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -664,6 +664,15 @@
     assert queueing.order(jobs, [], none, none, WallTime(0.0))[0] is gang
 
 
+def test_a_job_that_fails_everywhere_tries_one_task_whatever_lies_idle() -> None:
+    world = World()
+    for n in range(3):
+        world.machine(f"i-{n}")
+    failing = world.job("run-1", pieces=20, image_gb=10.0)
+    failing.backoff_s = 2.0
+    assert sum(spread_of(world.plan(failing)).values()) == 1
+
+
 def test_a_gang_avoids_machines_that_are_fetching() -> None:
     """Found on a busy day: one member's image came 40 s late, and the others gave up in turn."""
     world = World()
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -287,6 +287,22 @@
     assert direct[-2:] == [True, True]
 
 
+def test_a_store_that_is_slow_for_all_is_given_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found on a day of our own with answers after 0.65 s: nothing was accepted for 50 s."""
+    store = Store(("127.0.0.1", 1), settings().params.state)
+
+    def raw(_method: str, _path: str, _body: bytes | None, deadline_s: float = 1.0) -> Reply:
+        if deadline_s < 0.65:
+            raise StoreDown("deadline")
+        return Reply(404, b"{}")
+
+    monkeypatch.setattr(store, "raw", raw)
+    store.relay = lambda _method, _path, _body: None  # peers wait no longer
+    with pytest.raises(StoreDown):
+        store.get("f/run-1")
+    assert [store.get("f/run-1") for _ in range(5)] == [None] * 5
+
+
 @pytest.mark.parametrize("act", ["start", "rent", "repeat", "release", "tell", "halt"])
 def test_what_was_decided_before_a_standstill_is_not_sent_after_it(stage: Stage, act: str) -> None:
     """The clocks run on while a process stands still; a successor may have decided otherwise."""
