Keep to the store's announced limits from the start; part what is too large for them

A store whose limits fall takes no value that was written whole under the old ones. Ruled out: the rate, since no request was refused with 429. Values are now parted, one after the other, and a rejected change is told from an outage.

--- a/src/ryewing/api.py
+++ b/src/ryewing/api.py
@@ -23,11 +23,13 @@
     DONE,
     FinalRecord,
     JobRecord,
+    cancel_mark,
     final_key,
     impossible,
+    kept_bytes,
     live_key,
 )
-from .store import Put, StoreDown, Throttled
+from .store import Put, Rejected, StoreDown, Throttled
 from .units import JobId, Stamp, Steady, WallTime, is_job_id, steady_now, wall_now
 from .wire import BODY_LIMIT, Malformed, RunStatus, read_object, read_report, read_run
 
@@ -43,6 +45,7 @@
 STORE_READS_AT_ONCE = 24
 BODY_S = 5.0
 FULL_RETRY_S = 30.0
+TOO_LARGE = "too large to be kept"
 HEADERS_MAX, HEADER_BYTES = 100, 16 * 1024
 _TO_ENVIRON = ("expect", "transfer-encoding", "connection", "upgrade")
 _RUN_PATH = re.compile(r"/v2/runs/([^/]+)(/cancel)?")
@@ -189,26 +192,35 @@
                 refusal = Response(422, {"error": why})
             elif node.full():
                 refusal = self._busy("too many unfinished jobs", FULL_RETRY_S)
-            elif run.flavours is not None:
-                run.flavours = [name for name in run.flavours if name in flavours]
+            else:
+                if run.flavours is not None:
+                    run.flavours = [name for name in run.flavours if name in flavours]
+                record = JobRecord(run, wall_now())
+                if kept_bytes(record) > node.store.limits.value_kb * 1024:
+                    refusal = Response(400, {"error": TOO_LARGE})
         if refusal is not None:
-            # A known job is known whatever a repeat of its submission looks like.
-            state = self._from_store(job)
-            return refusal if state is None else Response(200, state)
+            return self._unless_known(job, refusal)
         if self._submits >= SUBMITS_AT_ONCE:
             return self._busy("too many submissions at once")
         self._submits += 1
         try:
-            return self._accept(job, JobRecord(run, wall_now()))
+            return self._accept(job, record)
         finally:
             self._submits -= 1
 
+    def _unless_known(self, job: JobId, refusal: Response) -> Response:
+        """Refuse a submission, unless the job was accepted before.
+
+        A known job is known whatever a repeat of its submission looks like, also when it would be
+        too large today: it was kept under the limits of that day.
+        """
+        state = self._from_store(job)
+        return refusal if state is None else Response(200, state)
+
     def _accept(self, job: JobId, record: JobRecord) -> Response:
         """Write the job if it is new. What a user is told is in the store first."""
         conditions = {live_key(job): Stamp(0), final_key(job): Stamp(0)}
         writes = [Put(live_key(job), record)]
-        if len(msgspec.json.encode(record)) > self._node.store.limits.value_kb * 1024:
-            return Response(400, {"error": "too large to be kept"})
         until = Steady(steady_now() + 0.6)
         while True:
             try:
@@ -218,6 +230,10 @@
                 if steady_now() >= until:
                     return self._busy("the state service is busy")
                 gevent.sleep(0.08)
+            except Rejected as error:
+                # The store takes less than the settings say: asking again won't help.
+                log.error("event=accept-rejected job=%s error=%s", job, error)
+                return self._unless_known(job, Response(400, {"error": TOO_LARGE}))
             except StoreDown as error:
                 log.debug("event=accept-failed job=%s error=%s", job, error)
                 return self._busy("the state service can't be reached")
@@ -295,11 +311,16 @@
                     continue
                 record = msgspec.json.decode(entry.data, type=JobRecord)
                 if not record.cancelled:
-                    record.cancelled = True
-                    record.cancelled_at = wall_now()
-                    result = self._node.store.txn(
-                        {live_key(job): Stamp(entry.stamp)}, [Put(live_key(job), record)]
-                    )
+                    limit = self._node.store.limits.value_kb * 1024
+                    record = cancel_mark(record, wall_now(), limit)
+                    write = Put(live_key(job), record)
+                    try:
+                        result = self._node.store.txn({write.key: Stamp(entry.stamp)}, [write])
+                    except Rejected as error:
+                        # The store takes less than the settings say.
+                        log.error("event=cancel-rejected job=%s error=%s", job, error)
+                        write.value = record = cancel_mark(record, wall_now(), 0)
+                        result = self._node.store.txn({write.key: Stamp(entry.stamp)}, [write])
                     if not result.ok:
                         continue
                     log.info("event=cancel-accepted job=%s", job)
--- /dev/null
+++ b/src/ryewing/catalogue.py
@@ -0,0 +1,63 @@
+"""The machine types as the store keeps them, so that a submission can be judged without the cloud.
+
+One value as long as they fit. Where the store won't take it, they are in several: `flavours`, and
+`flavours/1` and up. An earlier version reads the first alone, and would refuse what fits the others
+only; so they are parted no sooner than the store asks for it, which it does not before every
+controller is of a version that reads all.
+"""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from .store import Put, Rejected, Remove, Store
+from .units import Stamp
+from .wire import Flavour, FlavourList
+
+log = logging.getLogger("ryewing.catalogue")
+
+KEY = "flavours"
+
+
+def read(store: Store) -> list[Flavour]:
+    """Read all types; none if nobody has written them yet."""
+    entries, _ = store.listing(KEY)
+    found: dict[str, Flavour] = {}
+    for entry in entries:
+        for flavour in msgspec.json.decode(entry.data, type=FlavourList).flavours:
+            found[flavour.sku] = flavour
+    return list(found.values())
+
+
+def write(store: Store, fence: dict[str, Stamp], flavours: list[Flavour]) -> None:
+    """Keep the types: in one value if the store takes it, else in as many as it needs."""
+    try:
+        store.txn(fence, [Put(KEY, FlavourList(flavours))])
+        parts = [flavours]
+    except Rejected as error:
+        parts = part(flavours, store.limits.value_kb * 1024)
+        log.info("event=types-parted values=%d why=%s", len(parts), error)
+        # The first comes last: until then, what was there before is there still.
+        for number in reversed(range(len(parts))):
+            store.txn(fence, [Put(_key(number), FlavourList(parts[number]))])
+    entries, _ = store.listing(KEY)
+    wanted = {_key(number) for number in range(len(parts))}
+    for entry in entries:
+        if entry.k not in wanted:
+            store.txn(fence, [Remove(entry.k)])
+
+
+def part(flavours: list[Flavour], limit: float) -> list[list[Flavour]]:
+    """Share the types out to values of a size."""
+    parts: list[list[Flavour]] = [[]]
+    for flavour in flavours:
+        if parts[-1] and len(msgspec.json.encode(FlavourList([*parts[-1], flavour]))) > limit:
+            parts.append([])
+        parts[-1].append(flavour)
+    return parts
+
+
+def _key(number: int) -> str:
+    return f"{KEY}/{number}" if number else KEY
--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -18,7 +18,7 @@
 
 from .settings import Team
 from .units import JobId, MachineId, Stamp, Steady, WallTime, Zone
-from .wire import RANKS, Flavour, Run, RunStatus
+from .wire import DAEMON, GROUP, RANKS, Flavour, Run, RunStatus
 
 LIVE_PREFIX = "j/"
 DONE_PREFIX = "d/"
@@ -47,6 +47,30 @@
     status: str
 
 
+def kept_bytes(record: JobRecord) -> int:
+    """Tell how large a value keeping a job takes: its record, or that of its finished tasks."""
+    finishes = 0
+    if record.run.shape != DAEMON:
+        finishes = 4 * -(-min(record.run.pieces, CHUNK) // 24) + len(record.run.ref) + 16
+    return max(len(msgspec.json.encode(record)), finishes)
+
+
+def cancel_mark(record: JobRecord, cancelled_at: WallTime, limit: float) -> JobRecord:
+    """Give the record of a job with the mark that it is cancelled.
+
+    One accepted under wider limits is shortened to what its stop still needs: what its tasks take,
+    and of whose limit. It could be read but not written back whole, and so not be cancelled.
+    """
+    marked = msgspec.structs.replace(record, cancelled=True, cancelled_at=cancelled_at)
+    if len(msgspec.json.encode(marked)) <= limit:
+        return marked
+    run = record.run
+    short = msgspec.structs.replace(
+        run, jobclass=run.jobclass[:32], bundle=run.bundle[:32], flavours=None
+    )
+    return msgspec.structs.replace(marked, run=short)
+
+
 def live_key(job: JobId) -> str:
     """Name the record of a live job."""
     return LIVE_PREFIX + job
@@ -90,7 +114,7 @@
     ]
     if not any(fits_flavour(run, flavour) for flavour in allowed):
         return "a task fits no allowed machine type"
-    tasks = run.pieces if run.shape == "group" else 1
+    tasks = run.pieces if run.shape in (GROUP, DAEMON) else 1
     if team.cpus_max and run.vcpus * tasks > team.cpus_max:
         return f"vcpus: above the limit of team {run.owner!r}"
     if team.gpus_max and run.cards * tasks > team.gpus_max:
@@ -166,12 +190,12 @@
     @property
     def gang(self) -> bool:
         """Tell whether all tasks run at the same time."""
-        return self.run.shape == "group"
+        return self.run.shape == GROUP
 
     @property
     def endless(self) -> bool:
-        """Tell whether the tasks run until the job is cancelled."""
-        return self.run.shape == "daemon"
+        """Tell whether the tasks (replicas) run until the job is cancelled."""
+        return self.run.shape == DAEMON
 
     @property
     def complete(self) -> bool:
@@ -196,7 +220,10 @@
         return self.run.flush_s if self.run.savepoint_s > 0 else 0.0
 
     def estimate_s(self) -> float:
-        """Estimate a task's run time: the owner's guess, corrected by what was seen."""
+        """Estimate a task's run time: the owner's guess, corrected by what was seen.
+
+        A replica's is infinite: no sum or product may be made of it.
+        """
         if self.endless:
             return math.inf
         if self.run_seen_s is not None:
@@ -208,8 +235,11 @@
         return bool(self._done[index >> 3] & (1 << (index & 7)))
 
     def finish(self, index: int) -> bool:
-        """Take note of a finish; True if it is news that must be written."""
-        if not 0 <= index < self.run.pieces or self.is_done(index):
+        """Take note of a finish; True if it is news that must be written.
+
+        A replica never finishes, whatever its worker or a record says: so its job can't be `done`.
+        """
+        if self.endless or not 0 <= index < self.run.pieces or self.is_done(index):
             return False
         self._done[index >> 3] |= 1 << (index & 7)
         self.done_count += 1
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -21,12 +21,12 @@
 from .mesh import ImageHint
 from .placer import Placer
 from .policy import Policy
-from .renter import FLAVOURS_KEY, HIRE_PREFIX, Renter
+from .renter import HIRE_PREFIX, Renter
 from .settings import Settings
 from .store import LeaseLost, Store, StoreDown
 from .term import TermContext
 from .units import DRIFT, JobId, MachineId, Stamp, Steady, Term, Zone, steady_now
-from .wire import Flavour, FlavourList, Hire, Report, ReportAnswer, RunStatus
+from .wire import Flavour, Hire, Report, ReportAnswer, RunStatus
 from .writer import MACHINE_PREFIX, MachineRecord, Writer
 
 log = logging.getLogger("ryewing.leader")
@@ -170,42 +170,45 @@
 
     def _load(self) -> None:
         now = steady_now()
-        entry = self.ctx.store.get(FLAVOURS_KEY)
-        if entry is not None:
-            self.ctx.take_flavours(msgspec.json.decode(entry.data, type=FlavourList).flavours)
+        types = self.renter.load_types()
+        if types:
+            self.ctx.take_flavours(types)
         jobs, self.intake.epoch = self.ctx.store.listing(LIVE_PREFIX)
         for entry in jobs:
             record = msgspec.json.decode(entry.data, type=JobRecord)
             self.ctx.book.put(record, Stamp(entry.stamp), inherited=True)
         finished, _ = self.ctx.store.listing(DONE_PREFIX)
-        for entry in finished:
-            for record_name, bits in self.writer.finishes.load(entry).items():
-                name, _, chunk = record_name.rpartition("/")
-                job = self.ctx.book.get(JobId(name))
-                if job is None:
-                    self.writer.finishes.drop(record_name)
-                else:
-                    job.load_chunk(int(chunk), msgspec.json.decode(bits, type=str))
-                    self.ctx.book.touch(job)
+        finishes = self.writer.finishes
+        records, twice = finishes.load(finished)
+        for record_name, bits in records:
+            name, _, chunk = record_name.rpartition("/")
+            job = self.ctx.book.get(JobId(name))
+            if job is None or job.endless:
+                finishes.drop(record_name)
+            else:
+                job.load_chunk(int(chunk), msgspec.json.decode(bits, type=str))
+                self.ctx.book.touch(job)
+        for record_name in twice:
+            name, _, chunk = record_name.rpartition("/")
+            job = self.ctx.book.get(JobId(name))
+            if job is not None and not job.endless:
+                finishes.put(record_name, job.chunk_text(int(chunk)))
         # Whoever led before may have answered workers until its hold ended, and the last of
         # these answers is good for one lease.
         workers = self.ctx.settings.params.workers
         until = Steady(now + (self.ctx.policy.hold_s + workers.lease_s) * (1 + 2 * DRIFT) + 1.0)
         machines, _ = self.ctx.store.listing(MACHINE_PREFIX)
-        for entry in machines:
-            for id_, raw in self.writer.machines.load(entry).items():
-                kept = msgspec.json.decode(raw, type=MachineRecord)
-                machine = self.ctx.picture.add(
-                    MachineId(id_),
-                    self.ctx.flavour(kept.flavour),
-                    Zone(kept.site),
-                    kept.loaner,
-                    now,
-                )
-                machine.addr = kept.addr
-                if kept.heard:
-                    machine.recorded = True
-                    machine.may_hold_until = until
+        records, twice = self.writer.machines.load(machines)
+        for id_, raw in records:
+            kept = msgspec.json.decode(raw, type=MachineRecord)
+            machine = self.ctx.picture.add(
+                MachineId(id_), self.ctx.flavour(kept.flavour), Zone(kept.site), kept.loaner, now
+            )
+            machine.addr = kept.addr
+            if kept.heard:
+                machine.recorded = True
+                machine.may_hold_until = until
+        self.writer.to_record.update(MachineId(id_) for id_ in twice)
         if self._hint is not None:
             self.ctx.picture.recall_images(self._hint.images, self._hint.machines)
         hires, _ = self.ctx.store.listing(HIRE_PREFIX)
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -8,6 +8,7 @@
 import gevent
 import msgspec
 
+from . import __version__, catalogue
 from .api import Api, ApiServer, Finals
 from .budget import Budget
 from .jobs import CANCELLED, DONE
@@ -39,12 +40,11 @@
     RelayAsk,
 )
 from .policy import Policy
-from .renter import FLAVOURS_KEY
 from .settings import Settings, parse_address
 from .store import Compacted, Store, StoreDown
 from .transport import Reply
 from .units import Epoch, JobId, NodeName, Steady, Term, WallTime, steady_now, wall_now
-from .wire import Flavour, FlavourList, RunStatus
+from .wire import Flavour, RunStatus
 
 log = logging.getLogger("ryewing.node")
 WATCH_S = 8.0
@@ -70,7 +70,7 @@
         self.policy = policy
         self.name = NodeName(settings.node)
         self.boot = new_boot()
-        limits = settings.params.state
+        limits = settings.params.state.strictest()
         self.store = Store(parse_address(settings.endpoints.state), limits)
         self.store.relay = self._relay
         self.teams = {team.name: team for team in settings.params.teams}
@@ -100,7 +100,7 @@
         """Run until the process is killed."""
         self._api.start()
         self._mesh.start()
-        log.info("event=serving node=%s boot=%s", self.name, self.boot)
+        log.info("event=serving node=%s boot=%s version=%s", self.name, self.boot, __version__)
         while True:
             try:
                 self._follow()
@@ -219,11 +219,10 @@
         if not self._flavours and now - self._flavours_read_at > 0.5:
             self._flavours_read_at = now
             try:
-                entry = self.store.get(FLAVOURS_KEY)
+                listed = catalogue.read(self.store)
             except StoreDown:
-                entry = None
-            if entry is not None:
-                listed = msgspec.json.decode(entry.data, type=FlavourList).flavours
+                listed = []
+            if listed:
                 self._set_flavours({flavour.sku: flavour for flavour in listed})
         return self._flavours
 
--- a/src/ryewing/packed.py
+++ b/src/ryewing/packed.py
@@ -2,24 +2,48 @@
 
 The store counts changes, not bytes, so a record of its own for each machine or job costs most
 where there are most of them: hundreds of machines at a start took the write rate for many seconds.
-A record stays in the value it was first put into. Every write names the version of the value that
-it replaces: one that got no answer and is applied late would else take back what came after it.
+Every write names the version of the value that it replaces: one that got no answer and is applied
+late would else take back what came after it. For the same reason a value is never removed while
+its term lasts: emptied, its key keeps a version.
+
+A record stays in the value it was first put into, but for one case: a value that is larger than
+the store takes (it was written under wider limits, or has grown) gives some of its records to
+others. Those are written first, or in the same transaction, and only then the value without them:
+a crash in between leaves a record twice, never not at all. Whoever reads both takes both into
+account (finishes are a union, a machine was heard if either says so), so it doesn't matter which of
+them an earlier version of this program had gone on with.
+
 Pure: tells what has to be written; the caller writes it, and says so.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
-from .store import Put, Remove
-from .units import Stamp
+from .store import Put
+from .units import Epoch, Stamp
 from .wire import Entry
 
 FILL = 0.6
-"""How full a value may get by new records. The rest is for those in it that grow: a record never
-moves to another value, since a crash between two writes could lose it."""
+"""How full a value may get by new records. The rest is for those in it that grow."""
+FULL = 0.95
+"""How full a value may get at all: the store may count a little more than we do."""
+LEAST_BYTES = 512
+"""However small the store's values seem to be, they aren't taken to be smaller than this."""
+
+
+class Change:
+    """One transaction's worth of values: on which versions, and what it brings up to date."""
+
+    __slots__ = ("conditions", "ops", "size", "versions")
+
+    def __init__(self) -> None:
+        self.ops: list[Put] = []
+        self.conditions: dict[str, Stamp] = {}
+        self.versions: dict[int, int] = {}
+        self.size = 0
 
 
 class Packed:
@@ -27,7 +51,7 @@
 
     def __init__(self, prefix: str, value_kb: float) -> None:
         self._prefix = prefix
-        self._limit = int(FILL * value_kb * 1024)
+        self._bytes = value_kb * 1024
         self._records: dict[int, dict[str, msgspec.Raw]] = {}
         self._sizes: dict[int, int] = {}
         self._where: dict[str, int] = {}
@@ -35,24 +59,54 @@
         """Values that the store lacks, with a count of their changes."""
         self._count = 0
         self._stamps: dict[int, Stamp] = {}
+        self._stored: dict[int, int] = {}
+        """The newest change of a value that is in the store."""
+        self._after: dict[int, dict[int, int]] = {}
+        """Values that must not be written before others: those, and which change of them. Always
+        others of a higher number, so that no two wait for each other."""
 
     @staticmethod
     def _size(name: str, data: bytes | msgspec.Raw) -> int:
         return len(name) + len(bytes(data)) + 4
 
-    def load(self, entry: Entry) -> dict[str, msgspec.Raw]:
-        """Take up a value as the store has it, after a take-over."""
-        number = int(entry.k[len(self._prefix) :])
-        records = {
-            name: msgspec.Raw(bytes(record))
-            for name, record in msgspec.json.decode(entry.data, type=dict[str, msgspec.Raw]).items()
-        }
-        self._records[number] = records
-        self._stamps[number] = Stamp(entry.stamp)
-        self._sizes[number] = sum(self._size(name, record) for name, record in records.items())
-        for name in records:
-            self._where[name] = number
-        return dict(records)  # the caller drops some while it reads
+    def load(self, entries: Iterable[Entry]) -> tuple[list[tuple[str, msgspec.Raw]], set[str]]:
+        """Take up the values as the store has them, after a take-over.
+
+        Return every record found, the one written last at the end, and the names of those found
+        twice: the caller has to put them again, made of both.
+        """
+        for kept in (self._records, self._sizes, self._where, self._changes):
+            kept.clear()  # a reading that failed half-way is done again
+        for known in (self._stamps, self._stored, self._after):
+            known.clear()
+        found: list[tuple[str, msgspec.Raw]] = []
+        twice: set[str] = set()
+        for entry in sorted(entries, key=lambda entry: entry.stamp):
+            number = int(entry.k[len(self._prefix) :])
+            records = {
+                name: msgspec.Raw(bytes(record))
+                for name, record in msgspec.json.decode(
+                    entry.data, type=dict[str, msgspec.Raw]
+                ).items()
+            }
+            found.extend(records.items())
+            self._records[number] = records
+            self._stamps[number] = Stamp(entry.stamp)
+            self._sizes[number] = sum(self._size(name, record) for name, record in records.items())
+            for name in list(records):
+                other = self._where.get(name)
+                self._where[name] = number if other is None else max(number, other)
+                if other is not None:
+                    twice.add(name)
+                    low, high = sorted((number, other))
+                    record = self._records[low].pop(name)
+                    self._sizes[low] -= self._size(name, record)
+                    self._touch(low)
+                    self._touch(high)
+                    self._wait_for(low, high)
+        for number in sorted(self._records):
+            self._spill(number)
+        return found, twice
 
     def put(self, name: str, record: object) -> int:
         """Want a record to be kept; return the number of its value."""
@@ -69,7 +123,8 @@
         self._sizes[number] += self._size(name, data)
         self._records[number][name] = msgspec.Raw(data)
         self._touch(number)
-        return number
+        self._spill(number)
+        return self._where[name]
 
     def drop(self, name: str) -> None:
         """Want a record to be forgotten."""
@@ -78,15 +133,46 @@
             self._sizes[number] -= self._size(name, self._records[number].pop(name))
             self._touch(number)
 
-    def _with_room(self, size: int) -> int:
+    def _with_room(self, size: int, above: int = -1) -> int:
         for number, used in self._sizes.items():
-            if used + size <= self._limit:
+            if number > above and used + size <= FILL * self._bytes:
                 return number
         number = max(self._records, default=-1) + 1
         self._records[number] = {}
         self._sizes[number] = 0
         return number
 
+    def _spill(self, number: int) -> None:
+        """Give away records of a value that has become too large."""
+        if self._sizes[number] <= FULL * self._bytes:
+            return
+        records = self._records[number]
+        for name in list(records)[:0:-1]:
+            if self._sizes[number] <= FILL * self._bytes:
+                break
+            size = self._size(name, records[name])
+            other = self._with_room(size, number)
+            self._records[other][name] = records.pop(name)
+            self._where[name] = other
+            self._sizes[number] -= size
+            self._sizes[other] += size
+            self._touch(number)
+            self._touch(other)
+            self._wait_for(number, other)
+
+    def lower(self, change: Change) -> bool:
+        """The store won't take values of this size: make them smaller; False if that's no help."""
+        largest = max((self._sizes[number] for number in change.versions), default=0)
+        if largest <= LEAST_BYTES or all(len(self._records[n]) < 2 for n in change.versions):
+            return False
+        self._bytes = max(LEAST_BYTES, min(self._bytes, largest) / 2)
+        for number in sorted(self._records):
+            self._spill(number)
+        return True
+
+    def _wait_for(self, number: int, other: int) -> None:
+        self._after.setdefault(number, {})[other] = self._changes[other]
+
     def _touch(self, number: int) -> None:
         self._count += 1
         self._changes[number] = self._count
@@ -103,24 +189,39 @@
         """Name the key of a value."""
         return f"{self._prefix}{number}"
 
-    def stamp(self, number: int) -> Stamp:
-        """Tell which version of a value the next write replaces."""
-        return self._stamps.get(number, Stamp(0))
-
-    def write(self, number: int) -> tuple[Put | Remove, int, int]:
-        """Give the change that brings a value up to date, its version, and its size."""
-        records = self._records[number]
-        op: Put | Remove
-        op = Put(self.key(number), dict(records)) if records else Remove(self.key(number))
-        return op, self._changes.get(number, 0), self._sizes[number] + len(self.key(number))
-
-    def written(self, number: int, version: int, stamp: Stamp) -> None:
-        """The change of this version is in the store, under this stamp."""
-        self._stamps[number] = stamp
-        if self._changes.get(number) == version:
-            del self._changes[number]
-
-    def found(self, number: int, stamp: Stamp) -> None:
+    def _needed(self, number: int, found: dict[int, None]) -> None:
+        """Name a value after all that must be written before it."""
+        for other, version in self._after.get(number, {}).items():
+            if self._stored.get(other, 0) < version:
+                self._needed(other, found)
+        found[number] = None
+
+    def change(self, number: int, ops_max: int, bytes_max: int) -> Change:
+        """Give the transaction that brings a value up to date, or the first part of the way."""
+        needed: dict[int, None] = {}
+        self._needed(number, needed)
+        change = Change()
+        for each in needed:
+            size = self._sizes[each] + len(self.key(each))
+            if change.ops and (len(change.ops) >= ops_max or change.size + size > bytes_max):
+                break
+            change.ops.append(Put(self.key(each), dict(self._records[each])))
+            change.conditions[self.key(each)] = self._stamps.get(each, Stamp(0))
+            change.versions[each] = self._changes.get(each, 0)
+            change.size += size
+        return change
+
+    def written(self, change: Change, epoch: Epoch) -> None:
+        """The change is in the store."""
+        for number, version in change.versions.items():
+            self._stamps[number] = Stamp(epoch)
+            self._stored[number] = version
+            if self._changes.get(number) == version:
+                del self._changes[number]
+                self._after.pop(number, None)
+
+    def found(self, key: str, stamp: Stamp) -> None:
         """The store has another version: an earlier write of ours was applied after all."""
+        number = int(key[len(self._prefix) :])
         self._stamps[number] = stamp
         self._touch(number)
--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from . import fleet
+from . import catalogue, fleet
 from .cloud import RELEASE_MAX, RENT_MAX, Cloud, CloudDown, NoCapacity
 from .dispatch import Dispatch
 from .picture import Machine
@@ -19,13 +19,12 @@
 from .store import Put, StoreDown
 from .term import TermContext
 from .units import MachineId, Steady, Zone, steady_now
-from .wire import FlavourList, Hire
+from .wire import Flavour, Hire
 from .writer import Writer
 
 log = logging.getLogger("ryewing.renter")
 
 HIRE_PREFIX = "h/"
-FLAVOURS_KEY = "flavours"
 LIST_EVERY_S = 4.0
 FLAVOURS_EVERY_S = 60.0
 UNHEARD_EXTRA_S = 0.5
@@ -51,6 +50,14 @@
         self._hires = 0
         self._listed_at = Steady(-1e9)
         self._flavours_at = Steady(-1e9)
+        self._types_kept: frozenset[str] = frozenset()
+        """The machine types that the store has."""
+
+    def load_types(self) -> list[Flavour]:
+        """Read the machine types that an earlier leader left in the store."""
+        flavours = catalogue.read(self.ctx.store)
+        self._types_kept = frozenset(flavour.sku for flavour in flavours)
+        return flavours
 
     def fleet_loop(self) -> None:
         """Bring the fleet to what is wanted."""
@@ -189,13 +196,12 @@
     def _read_flavours(self) -> None:
         flavours = self.cloud.flavours()
         self._flavours_at = steady_now()
-        known = self.ctx.flavours.keys()
-        changed = {f.sku for f in flavours} != known
         self.ctx.take_flavours(flavours)
-        if changed:
-            self.ctx.store.txn(
-                self.ctx.mandate.fenced(), [Put(FLAVOURS_KEY, FlavourList(flavours))]
-            )
+        kept = frozenset(flavour.sku for flavour in flavours)
+        if kept != self._types_kept:
+            # Noted only once it is written: other nodes take no job before they know the types.
+            catalogue.write(self.ctx.store, self.ctx.mandate.fenced(), flavours)
+            self._types_kept = kept
 
     def _list(self) -> None:
         now = steady_now()
--- a/src/ryewing/settings.py
+++ b/src/ryewing/settings.py
@@ -60,6 +60,15 @@
     cancel_s: float
 
 
+class NextLimits(msgspec.Struct, frozen=True):
+    """What the state service will take from some moment on; what isn't named stays as it is."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class StateLimits(msgspec.Struct, frozen=True):
     """What the state service takes, all controllers together."""
 
@@ -67,6 +76,22 @@
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextLimits | None = None
+
+    def strictest(self) -> StateLimits:
+        """Give what may be asked both now and once the announced limits hold.
+
+        No notice of the change comes, so this is what a controller lives by from its start.
+        """
+        later = self.next
+        if later is None:
+            return self
+        return StateLimits(
+            rps=min(self.rps, later.rps or self.rps),
+            write_rps=min(self.write_rps, later.write_rps or self.write_rps),
+            value_kb=min(self.value_kb, later.value_kb or self.value_kb),
+            txn_ops=min(self.txn_ops, later.txn_ops or self.txn_ops),
+        )
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
@@ -154,6 +179,15 @@
             value = getattr(getattr(params, group), name)
             if not math.isfinite(value) or value <= 0:
                 errors.append(f"params.{group}.{name}: must be above 0")
+    if params.state.next is not None:
+        for name in NextLimits.__struct_fields__:
+            value = getattr(params.state.next, name)
+            if value is not None and (not math.isfinite(value) or value <= 0):
+                errors.append(f"params.state.next.{name}: must be above 0")
+    for path, limits in (("state", params.state), ("state.next", params.state.next)):
+        if limits is not None and limits.txn_ops == 1:
+            # A take-over sets two keys at once, and so does a job's end.
+            errors.append(f"params.{path}.txn_ops: must be at least 2")
     names_seen: set[str] = set()
     for i, team in enumerate(params.teams):
         if team.name in names_seen:
@@ -167,10 +201,22 @@
     return errors
 
 
+KINDS = ("wait", "finished", "deadline")
+"""The kinds of objectives that the order of jobs goes by."""
+
+
 def _convert(raw: dict[str, Any]) -> Settings:
-    """Accept `resources` and `clock_off_ms` at the top level as well as under `params`."""
+    """Accept `resources` and `clock_off_ms` at the top level as well as under `params`.
+
+    Objectives of other kinds than those used are left out unread, whatever fields they have.
+    """
     params = raw.get("params")
     if isinstance(params, dict):
+        objectives = params.get("objectives")
+        if isinstance(objectives, list):
+            params["objectives"] = [
+                o for o in objectives if not isinstance(o, dict) or o.get("kind") in KINDS
+            ]
         for name in ("resources", "clock_off_ms"):
             if name not in params and name in raw:
                 params[name] = raw[name]
--- a/src/ryewing/store.py
+++ b/src/ryewing/store.py
@@ -37,6 +37,13 @@
     """The store says that it is asked too much."""
 
 
+class Rejected(StoreDown):
+    """The store won't take a request as it is, now or later: too large, or too many writes.
+
+    A kind of StoreDown to whoever can't do anything about it.
+    """
+
+
 class Compacted(Exception):
     """The watch's revision is too old: read the keys again."""
 
@@ -98,6 +105,7 @@
         self._http = HttpClient(address, keep)
         self._watches = HttpClient(address, 2)
         self.limits = limits
+        """What may be asked of it, now and later."""
         self.relay: Relay | None = None
         self._alone = False
         self._direct_s = DIRECT_S
@@ -199,6 +207,8 @@
         reply = self._ask("POST", "/txn", body)
         if reply.status == 400 and b"lease" in reply.body:
             raise LeaseLost(reply.body.decode("utf-8", "replace"))
+        if reply.status == 400:
+            raise Rejected(f"400: {reply.body[:200]!r}")
         if reply.status not in (200, 409):
             raise StoreDown(f"{reply.status}: {reply.body[:200]!r}")
         answer = msgspec.json.decode(reply.body, type=TxnAnswer)
--- a/src/ryewing/wire.py
+++ b/src/ryewing/wire.py
@@ -15,9 +15,9 @@
 MAX_TASKS = 100_000
 RANKS = ("production", "urgent", "standard", "idle")
 """From the most to the least important."""
-SHAPES = ("batch", "group", "daemon")
-"""`daemon` stands on no page, but users' real submissions name it: tasks like a batch's that run
-until the job is cancelled (docs/questions.md)."""
+BATCH, GROUP, DAEMON = SHAPES = ("batch", "group", "daemon")
+"""Tasks that run to completion, tasks that run all at once, and tasks (replicas) that run until the
+job is cancelled."""
 
 
 class Run(msgspec.Struct, omit_defaults=True):
--- a/src/ryewing/writer.py
+++ b/src/ryewing/writer.py
@@ -7,7 +7,7 @@
 
 import logging
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import gevent
@@ -27,14 +27,16 @@
 )
 from .packed import Packed
 from .picture import Machine
-from .store import Put, Remove, StoreDown
+from .store import Put, Rejected, Remove, StoreDown
 from .term import TermContext
-from .units import Epoch, JobId, MachineId, Stamp
+from .units import Epoch, JobId, MachineId, Stamp, Steady, steady_now
 
 log = logging.getLogger("ryewing.writer")
 
 MACHINE_PREFIX = "m/"
 FORGET_AT_ONCE = 32
+ASIDE_S = 30.0
+"""How long a change that the store won't take is left alone."""
 TXN_BYTES = 48 * 1024
 """What one transaction may carry, below the 64 KiB that the store takes in all."""
 SMALL = 256
@@ -53,25 +55,29 @@
 
 
 class _Write:
-    """One wanted change of the store: on which version, and what follows from it."""
+    """One wanted change of the store: on which versions, and what follows from it."""
 
-    __slots__ = ("conflict", "done", "key", "ops", "size", "stamp")
+    __slots__ = ("conditions", "conflict", "done", "key", "ops", "refused", "size")
 
     def __init__(
         self,
-        ops: list[Put | Remove],
+        ops: Sequence[Put | Remove],
         key: str,
-        stamp: Stamp | None,
+        conditions: dict[str, Stamp],
         done: Callable[[Epoch], None],
-        conflict: Callable[[], None] | None = None,
+        conflict: Callable[[str], None] | None = None,
         size: int = SMALL,
+        refused: Callable[[], bool] = lambda: False,
     ) -> None:
         self.ops = ops
         self.key = key
-        self.stamp = stamp
+        self.conditions = conditions
         self.done = done
         self.conflict = conflict
+        """Called with the key that was found to have another version."""
         self.size = size
+        self.refused = refused
+        """Called when the store won't take it; True if it is to be tried again."""
 
 
 class Writer:
@@ -84,7 +90,9 @@
         on_record: Callable[[msgspec.Raw, Stamp], None],
     ) -> None:
         self.ctx = ctx
-        value_kb = ctx.settings.params.state.value_kb
+        # No notice comes of limits that fall: what is written keeps to the stricter ones.
+        limits = ctx.settings.params.state.strictest()
+        value_kb = limits.value_kb
         self.machines = Packed(MACHINE_PREFIX, value_kb)
         self.finishes = Packed(DONE_PREFIX, value_kb)
         self.to_record: set[MachineId] = set()
@@ -93,8 +101,11 @@
         """Jobs whose final state may or may not be written: only the store can tell."""
         self._on_final = on_final
         self._on_record = on_record
+        self._ops_max = self._ops_allowed = limits.txn_ops
+        """How many changes a transaction may hold, and how many are known to be too many."""
+        self._aside: dict[str, Steady] = {}
+        """Keys that the store would not take, and until when it isn't asked again."""
         # Some of the write rate is left to renewals and to accepting submissions.
-        limits = ctx.settings.params.state
         self._budget = Budget(0.65 * limits.write_rps, 0.65 * limits.write_rps)
 
     def write_loop(self) -> None:
@@ -123,7 +134,9 @@
             if machine is None:
                 self.to_record.discard(name)
                 continue
-            heard = machine.heard_at is not None
+            # Once written, it stays: found when a successor repeated a wish whose machines had been
+            # heard by its predecessor, and wrote that they never were.
+            heard = machine.heard_at is not None or machine.recorded
             record = MachineRecord(
                 machine.flavour.sku, machine.site, machine.loaner, machine.addr, heard
             )
@@ -151,10 +164,12 @@
                     job.chunks_written.add(chunk)
                     indices = {i for i in job.unwritten if i // CHUNK == chunk}
                     finished.setdefault(number, []).append((job, indices))
-        writes.extend(
-            self._packed(self.finishes, number, partial(self._finishes_written, jobs))
-            for number, jobs in finished.items()
-        )
+        for number, jobs in finished.items():
+            if self.finishes.lacks(number):
+                done = partial(self._finishes_written, jobs)
+                writes.append(self._packed(self.finishes, number, done))
+            else:
+                self._finishes_written(jobs)  # another value's change has brought it along
         # What is only to be forgotten comes last.
         for packed, urgent in ((self.machines, recorded), (self.finishes, finished)):
             writes.extend(
@@ -163,35 +178,44 @@
                 if number not in urgent
             )
         for key in list(self.to_forget)[:FORGET_AT_ONCE]:
-            writes.append(_Write([Remove(key)], key, None, self._forget(key)))
+            writes.append(_Write([Remove(key)], key, {}, self._forget(key)))
         return writes
 
     def _packed(self, packed: Packed, number: int, done: Callable[[], None]) -> _Write:
-        op, version, size = packed.write(number)
-        key = packed.key(number)
+        change = packed.change(number, self._ops_max, TXN_BYTES)
 
         def written(epoch: Epoch) -> None:
-            packed.written(number, version, Stamp(epoch if isinstance(op, Put) else 0))
-            done()
+            packed.written(change, epoch)
+            if number in change.versions:
+                done()
 
-        def conflict() -> None:
+        def conflict(key: str) -> None:
             entry = self.ctx.store.get(key)
-            packed.found(number, Stamp(entry.stamp if entry is not None else 0))
+            packed.found(key, Stamp(entry.stamp if entry is not None else 0))
 
-        return _Write([op], key, packed.stamp(number), written, conflict, size)
+        return _Write(
+            change.ops,
+            packed.key(number),
+            change.conditions,
+            written,
+            conflict,
+            change.size,
+            partial(packed.lower, change),
+        )
 
     def _final(self, job: Job, status: str) -> _Write:
         return _Write(
             [Put(final_key(job.id), {"status": status}), Remove(live_key(job.id))],
             live_key(job.id),
-            job.stamp,
+            {live_key(job.id): job.stamp},
             lambda _epoch: self._finalised(job, status),
-            lambda: self._reconcile(job),
+            lambda _key: self._reconcile(job),
         )
 
     def write_once(self) -> bool:
         """Write one transaction; True if more is wanted."""
-        wanted = self._wanted_writes()
+        now = steady_now()
+        wanted = [w for w in self._wanted_writes() if self._aside.get(w.key, now) <= now]
         if not wanted:
             return False
         chosen: list[_Write] = []
@@ -199,21 +223,27 @@
         ops: list[Put | Remove] = []
         size = 0
         for write in wanted:
-            if len(ops) + len(write.ops) > self.ctx.settings.params.state.txn_ops:
+            if write.conditions.keys() & conditions.keys():
+                continue  # a change of one value that another one brings along
+            if chosen and (
+                len(ops) + len(write.ops) > self._ops_max or size + write.size > TXN_BYTES
+            ):
                 break
             size += write.size
-            if chosen and size > TXN_BYTES:
-                break
             chosen.append(write)
             ops.extend(write.ops)
-            if write.stamp is not None:
-                conditions[write.key] = write.stamp
+            conditions.update(write.conditions)
         if not self._budget.take(len(ops)):
             gevent.sleep(min(1.0, self._budget.wait_s(len(ops))))
             return True
         finals = {JobId(w.key[len(LIVE_PREFIX) :]) for w in chosen if w.key.startswith(LIVE_PREFIX)}
         self.final_pending |= finals
-        result = self.ctx.store.txn(self.ctx.mandate.fenced(conditions), ops)
+        try:
+            result = self.ctx.store.txn(self.ctx.mandate.fenced(conditions), ops)
+        except Rejected as error:
+            self.final_pending -= finals  # it was certainly not executed
+            self._on_rejected(chosen, len(ops), now, error)
+            return True
         if result.ok:
             for write in chosen:
                 write.done(result.epoch)
@@ -222,11 +252,31 @@
             return False
         else:
             for write in chosen:
-                if write.conflict is not None and write.key in result.failed:
-                    write.conflict()
+                for key in write.conditions.keys() & result.failed:
+                    if write.conflict is not None:
+                        write.conflict(key)
         self.final_pending -= finals
         return len(chosen) < len(wanted) or not result.ok
 
+    def _on_rejected(self, chosen: list[_Write], ops: int, now: Steady, error: Rejected) -> None:
+        """The store won't take this: find out whether it is the number of changes or one of them.
+
+        One value that can't be written must not hold up all others: taken for an outage, it was
+        tried for ever.
+        """
+        log.error(
+            "event=write-rejected changes=%d keys=%s error=%s",
+            ops,
+            ",".join(write.key for write in chosen),
+            error,
+        )
+        if len(chosen) > 1 or ops > 2:
+            self._ops_max = max(2 if ops > 2 else 1, ops // 2)
+            return
+        self._ops_max = self._ops_allowed
+        if not chosen[0].refused():
+            self._aside[chosen[0].key] = Steady(now + ASIDE_S)
+
     def _forget(self, key: str) -> Callable[[Epoch], None]:
         return lambda _epoch: self.to_forget.pop(key, None)
 
