--- a/src/ryewing/dispatch.py
+++ b/src/ryewing/dispatch.py
@@ -129,8 +129,8 @@
     def _drain(self, held: Hold, machine: Machine, now: Steady) -> None:
         """Save in time before the cloud takes the machine, or let short tasks finish."""
         job = held.job
-        if job is None or held.phase == SAVING:
-            return
+        if job is None or held.phase == SAVING or job.endless:
+            return  # a replica serves on until the placer has room for it elsewhere
         left = (machine.warning_s or 0.0) - (now - machine.warned_at)
         if held.phase == RUNNING and held.ran_from is not None:
             remaining = job.estimate_s() - (now - held.ran_from)
--- a/src/ryewing/fleet.py
+++ b/src/ryewing/fleet.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 from .jobs import Job, count_fitting, fits_flavour
 from .picture import Machine
 from .placement import allows
 from .policy import Policy
-from .units import MachineId, Steady
+from .units import MachineId, Steady, Zone
 from .wire import Flavour, Run
 
 Option = tuple[str, str, bool]
@@ -99,6 +100,8 @@
         for site in flavour.sites:
             if run.site is not None and site != run.site:
                 continue
+            if zone_room(job, site) <= 0:
+                continue
             for spot in (True, False):
                 if spot and (not run.loaner or flavour.spot_price is None):
                     continue
@@ -109,6 +112,11 @@
     return [option for _score, option in scored]
 
 
+def zone_room(job: Job, site: str) -> int:
+    """Tell how many more of a job's tasks may go to a zone."""
+    return job.zone_max - job.zones[Zone(site)]
+
+
 def wishes(
     short: Sequence[tuple[Job, int]],
     booting: Sequence[Machine],
@@ -123,12 +131,17 @@
     for job, count in short:
         run = job.run
         left = count
+        taken: Counter[str] = Counter()
+        """Where the tasks would be: a job that is spread gets half a zone at the most. Machines
+        rented for it in a zone that it had filled were of no use to it, again and again."""
         for machine, free in zip(booting, room, strict=True):
             if left <= 0:
                 break
             if not allows(run, machine):
                 continue
-            fit = count_fitting(run, free[0], free[1], free[2], left)
+            most = min(left, zone_room(job, machine.site) - taken[machine.site])
+            fit = count_fitting(run, free[0], free[1], free[2], most)
+            taken[machine.site] += fit
             free[0] -= run.vcpus * fit
             free[1] -= run.cards * fit
             free[2] -= run.mem_gb * fit
@@ -136,24 +149,36 @@
         if left <= 0:
             continue
         options = options_for(job, flavours, shelf, now)
-        if not options:
-            continue
-        places = per_machine(run, flavours[options[0][0]])
-        machines = -(-left // places)
-        if not job.gang:
-            # An array needs no place of its own for every task: enough that it drains in time.
-            rounds = max(1.0, policy.drain_target_s / job.estimate_s())
-            machines = max(1, round(left / places / rounds))
-        for wish in result:
-            if wish.options[0] == options[0]:
-                # One request for all that want the same: the cloud takes few of them.
-                wish.count += machines
-                break
-        else:
-            result.append(Wish(options, machines))
+        while left > 0 and options:
+            sku, site, _spot = options[0]
+            part = min(left, zone_room(job, site) - taken[site])
+            if part > 0:
+                left -= part
+                taken[site] += part
+                _want(result, options, _machines(job, part, flavours[sku], policy))
+            options = [option for option in options if option[1] != site]
     return result
 
 
+def _machines(job: Job, count: int, flavour: Flavour, policy: Policy) -> int:
+    """Tell how many machines of a type some of a job's tasks are rented for."""
+    places = per_machine(job.run, flavour)
+    if job.gang or job.endless:
+        return -(-count // places)
+    # An array needs no place of its own for every task: enough that it drains in time.
+    rounds = max(1.0, policy.drain_target_s / job.estimate_s())
+    return max(1, round(count / places / rounds))
+
+
+def _want(wishes: list[Wish], options: list[Option], machines: int) -> None:
+    """Add to a wish for the same: one request for all of them, since the cloud takes few."""
+    for wish in wishes:
+        if wish.options[0] == options[0]:
+            wish.count += machines
+            return
+    wishes.append(Wish(options, machines))
+
+
 def to_retire(
     machines: Iterable[Machine], cards_wanted: float, drain_s: float, policy: Policy
 ) -> set[MachineId]:
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -47,6 +47,10 @@
 PACE_WEIGHT, PACE_MAX, SLOW_PACE = 0.2, 3.0, 1.4
 FAILS_ANYWHERE = 3
 """A job that failed on so many machines is thought to fail on every one."""
+RAN_WELL_S = 15.0
+"""A replica that ran for so long did not fail at its start."""
+REPLICA_AVOID_S = 120.0
+"""How long a machine where a replica ended early gets none of the job's."""
 WARM, FETCHED_NOW, COLD = range(3)
 STRETCH_WEIGHT, STRETCH_FROM_S, SHARED_STRETCH = 0.05, 5.0, 1.2
 """How fast it is learned whether fetches at once share a machine's rate, from which length on (a
@@ -90,6 +94,11 @@
         """Its run was seen to begin; a task found running after a take-over was not."""
 
 
+def ran_well(held: Hold, now: Steady) -> bool:
+    """Tell whether a task ran for a while; of one that was found running nothing else is known."""
+    return held.ran_from is not None and (not held.witnessed or now - held.ran_from >= RAN_WELL_S)
+
+
 class Ended:
     """An ended attempt that the worker reports until it is cleared."""
 
@@ -142,6 +151,7 @@
         "recorded",
         "rented_at",
         "retiring",
+        "retiring_since",
         "shown",
         "site",
         "unheeding_since",
@@ -185,6 +195,7 @@
         self.leaving = False
         self.retiring = False
         """No more work is wanted here: it is returned once what runs has ended."""
+        self.retiring_since = now
         self.quarantined = False
         self.holds: dict[TaskId, Hold] = {}
         self.shown: dict[tuple[str, int], ReportedPiece] = {}
@@ -577,11 +588,13 @@
         self, machine: Machine, task: TaskId, piece: ReportedPiece, now: Steady
     ) -> None:
         attempt = Attempt(piece.attempt)
-        done = piece.cause == "done"
-        machine.ended[piece.piece, piece.attempt] = Ended(task, attempt, done)
         job = self.book.get(task.job)
+        # A replica that exits has to run again, whatever its cause.
+        done = piece.cause == "done" and (job is None or not job.endless)
+        machine.ended[piece.piece, piece.attempt] = Ended(task, attempt, done)
         held = machine.holds.get(task)
         known = held is not None and held.attempt == attempt
+        well = known and held is not None and ran_well(held, now)
         if held is not None and known:
             if done and job is not None and held.ran_from is not None and held.witnessed:
                 machine.note_pace(job, now - held.ran_from)
@@ -595,9 +608,51 @@
                 job.finish(task.number)
                 job.backoff_s = 0.0
             self.book.touch(job)
+        elif known and job.endless and piece.cause in ("done", "error"):
+            self._replica_ended(machine, job, piece.cause, well, now)
         elif known:
             self._failed(machine, job, piece.cause or "", now)
 
+    def _replica_ended(
+        self, machine: Machine, job: Job, cause: str, well: bool, now: Steady
+    ) -> None:
+        """Judge the end of a replica: one that ran well for a while runs again at once, anywhere.
+
+        None ever finishes, so that a job has finished nothing says nothing here: a good service was
+        thought faulty for a few bad machines. Its replicas that run well elsewhere count instead.
+        """
+        log.warning(
+            "job=%s machine=%s event=replica-ended cause=%s well=%s",
+            job.id,
+            machine.id,
+            cause,
+            well,
+        )
+        if well and cause == "error":
+            return
+        # A worker keeps the result of what exited with `done`: started there it would end at once.
+        job.failed_on[machine.id] = now
+        if cause == "error":
+            machine.faults.add(job.id)
+        lately = {name for name, at in job.failed_on.items() if now - at < REPLICA_AVOID_S}
+        elsewhere = set(job.live.values()) - lately
+        if len(lately) >= max(FAILS_ANYWHERE, len(elsewhere) + 1) and not self.serves(job, now):
+            self._blame(job, now)
+
+    def serves(self, job: Job, now: Steady) -> bool:
+        """Tell whether a replica of the job has run well for a while."""
+        return any(held.phase == RUNNING and ran_well(held, now) for held in self.holds_of(job))
+
+    def _blame(self, job: Job, now: Steady) -> None:
+        """The job is at fault, not the machines that it failed on."""
+        for name in job.failed_on:
+            other = self.machines.get(name)
+            if other is not None:
+                other.faults.discard(job.id)
+        job.backoff_s = min(60.0, max(2.0, job.backoff_s * 2))
+        job.backoff_until = Steady(now + job.backoff_s)
+        log.warning("job=%s event=backed-off for_s=%g", job.id, job.backoff_s)
+
     def _failed(self, machine: Machine, job: Job, cause: str, now: Steady) -> None:
         """Judge a failure: by the job if it fails on several machines, else by the machine."""
         if cause in ("no_room", "in_use", "unknown"):
@@ -614,12 +669,7 @@
         elsewhere = set(job.live.values()) - job.failed_on.keys()
         failing = len(job.failed_on) >= max(FAILS_ANYWHERE, len(elsewhere) + 1)
         if failing and not job.done_count:
-            # The job is at fault, not the machines. Not so if it finished tasks or runs on more
-            # machines than it failed on: among hundreds, a large array meets several faulty ones
-            # at once, and each of them was cleared of its fault by that.
-            for name in job.failed_on:
-                other = self.machines.get(name)
-                if other is not None:
-                    other.faults.discard(job.id)
-            job.backoff_s = min(60.0, max(2.0, job.backoff_s * 2))
-            job.backoff_until = Steady(now + job.backoff_s)
+            # Not so if it finished tasks or runs on more machines than it failed on: among
+            # hundreds, a large array meets several faulty ones at once, and each of them was
+            # cleared of its fault by that.
+            self._blame(job, now)
--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -19,7 +19,7 @@
 from .queueing import demand
 from .settings import Team
 from .units import MachineId, Steady, TeamName, Zone
-from .wire import RANKS, Run
+from .wire import DAEMON, RANKS, Run
 
 COLD_DELAY = 0.5
 """How long a job waits for a machine with its image, as a part of the fetch time."""
@@ -33,6 +33,12 @@
 """The part of an overdue array that goes before everything."""
 PLENTY = 1.5
 """Room is plenty when it is so many times what all waiting jobs ask for."""
+SOON_S = 1.5
+"""What a replica may wait for its image where others would have to be stopped for it elsewhere."""
+REPLICA_LOSS_S = 600.0
+"""What stopping a replica counts as: it is among the last to be stopped for anything."""
+LARGE_SHARE = 0.125
+"""A task that takes so much of a machine is large: a few replicas can be in its way."""
 PREEMPT_MAX = 64
 """Places freed for one array in one pass: bounds the work of a pass."""
 
@@ -66,12 +72,15 @@
 
 
 NO_CARDS = PerCard()
+MANY = 1_000_000
 
 
 class Room:
     """A machine's room during one pass."""
 
     __slots__ = (
+        "_displaced",
+        "_lasting",
         "cards",
         "dying_cards",
         "dying_mem",
@@ -100,6 +109,9 @@
         """Images for which this pass has placed a task here."""
         self.wanted = {False: 0, True: 0}
         """How many images that waiting arrays want are here, without and with cards."""
+        self._lasting: tuple[float, float, float] | None = None
+        """What is left beside the replicas here: what work that ends can count on."""
+        self._displaced: dict[tuple[float, float, float], float] = {}
         self.dying_vcpus = self.dying_cards = self.dying_mem = 0.0
         for held in stopping:
             self._add_dying(held)
@@ -147,6 +159,61 @@
         self.cards -= run.cards * count
         self.mem -= run.mem_gb * count
 
+    def beside_replicas(self) -> tuple[float, float, float]:
+        """Tell what room there would be with nothing but the replicas here."""
+        if self._lasting is None:
+            flavour = self.machine.flavour
+            vcpus, cards, mem = flavour.vcpus, flavour.cards, flavour.mem_gb
+            for held in self.machine.holds.values():
+                if held.job is not None and held.job.endless:
+                    vcpus -= held.job.run.vcpus
+                    cards -= held.job.run.cards
+                    mem -= held.job.run.mem_gb
+            self._lasting = vcpus, cards, mem
+        return self._lasting
+
+    def restore(self, lasting: tuple[float, float, float]) -> None:
+        """Take back what `last` has counted since."""
+        self._lasting = lasting
+        self._displaced.clear()
+
+    def last(self, run: Run, count: int) -> None:
+        """Count replicas that are placed here: they take their room for good."""
+        vcpus, cards, mem = self.beside_replicas()
+        self._lasting = (
+            vcpus - run.vcpus * count,
+            cards - run.cards * count,
+            mem - run.mem_gb * count,
+        )
+        self._displaced.clear()
+
+    def displaced(self, run: Run, kinds: Sequence[Run]) -> float:
+        """Tell how much room for large tasks, as a part of the machine, one more replica takes.
+
+        Four replicas beside a gang's task of 60 processors of 64 are in nobody's way; the fifth
+        keeps such tasks off the machine for as long as it runs, and the sixth costs nothing more.
+        """
+        key = (run.vcpus, run.cards, run.mem_gb)
+        found = self._displaced.get(key)
+        if found is None:
+            found = 0.0
+            flavour = self.machine.flavour
+            vcpus, cards, mem = self.beside_replicas()
+            for kind in kinds:
+                share = kind.vcpus / flavour.vcpus if flavour.vcpus else 0.0
+                if kind.cards > 0 and flavour.cards:
+                    share = max(share, kind.cards / flavour.cards)
+                if share < LARGE_SHARE or share > 1.0:
+                    continue
+                before = count_fitting(kind, vcpus, cards, mem, MANY)
+                if before:
+                    after = count_fitting(
+                        kind, vcpus - run.vcpus, cards - run.cards, mem - run.mem_gb, MANY
+                    )
+                    found = max(found, (before - after) * share)
+            self._displaced[key] = found
+        return found
+
     def usable_cards(self, beside: float) -> float:
         """Count the cards in use, and those free with processors left beside them."""
         free = min(self.cards, max(0.0, self.vcpus) // max(beside, 1e-3))
@@ -254,6 +321,8 @@
     """The outcome of a pass."""
 
     def __init__(self) -> None:
+        self.moves: list[Hold] = []
+        """Replicas to be stopped, since there is room for them elsewhere."""
         self.batches: list[Batch] = []
         self.stops: list[Hold] = []
         self.short: list[tuple[Job, int]] = []
@@ -300,11 +369,20 @@
     if held.ran_from is None or held.job is None:
         return 0.0
     run = held.job.run
+    if held.job.endless:
+        return REPLICA_LOSS_S
     if run.savepoint_s > 0:
         return run.flush_s
     return now - held.ran_from
 
 
+def _rank_to_stop(held: Hold) -> tuple[bool, int]:
+    """Order whom to stop first: what ends anyway, and of that the least important."""
+    if held.job is None:
+        return False, 0
+    return held.job.endless, -held.job.rank
+
+
 def may_preempt(job: Job, held: Hold) -> bool:
     """Tell whether this task may be stopped for the job.
 
@@ -420,6 +498,7 @@
         cards_kept: float = math.inf,
         avoid: Callable[[Job, Machine], bool] = lambda _job, _machine: False,
         fetches_share: bool = True,
+        kinds: Sequence[Run] = (),
     ) -> None:
         self._rooms = rooms
         self._quota = quota
@@ -433,6 +512,10 @@
         """Where the tasks of the job at hand are, with those placed in this pass."""
         self._avoid = avoid
         self._fetches_share = fetches_share
+        self._kinds = kinds
+        """What else is run lately: one of each class."""
+        self._harmless_only = False
+        """The replicas at hand are to be in no large task's way."""
         self._groups: dict[tuple[str, Zone, bool], list[Room]] = {}
         for room in rooms:
             machine = room.machine
@@ -474,7 +557,9 @@
     def _leave_on(self, room: Room) -> PerCard:
         return self._leave if room.machine.id in self._kept else NO_CARDS
 
-    def run(self, jobs: Sequence[Job], overdue: Sequence[Job] = ()) -> Plan:
+    def run(
+        self, jobs: Sequence[Job], overdue: Sequence[Job] = (), moving: Sequence[Hold] = ()
+    ) -> Plan:
         """Place the jobs in the order given, those overdue to begin before all.
 
         An array has begun when a part of it runs; the rest comes by the order. A gang begins
@@ -483,17 +568,25 @@
         self._find_plenty(jobs)
         self._find_needs(jobs)
         reserved = False
+        begun = set(overdue)
         for job in overdue:
-            if not job.gang:
+            if job.endless:
+                self._place(job)  # every replica is missed
+            elif not job.gang:
                 self._place(job, max(1, int(BEGIN_SHARE * job.run.pieces)))
-                continue
-            self._place(job)
-            if not reserved and any(waiting is job for waiting, _count in self.plan.short[-1:]):
-                self._reserve(job)
-                reserved = True
-        begun = set(overdue)
-        for job in jobs:
-            if job not in begun:
+            else:
+                self._place(job)
+                if not reserved and any(waiting is job for waiting, _n in self.plan.short[-1:]):
+                    self._reserve(job)
+                    reserved = True
+        rest = [job for job in jobs if job not in begun]
+        for job in rest:
+            if job.endless:
+                self._place(job)
+        for held in moving:
+            self._move(held)
+        for job in rest:
+            if not job.endless:
                 self._place(job)
         self._leftover = True
         for job in self._waiting:
@@ -562,6 +655,48 @@
             room.reserved_s = soonest[0]
         self.plan.reserved = (job, [room.machine for room in soonest[1]])
 
+    def _move(self, held: Hold) -> None:
+        """Stop a replica that is to run elsewhere, once there is room for it.
+
+        It may not start there before it is gone here. So room is found first, where its image is,
+        and the gap is no longer than a stop and a start take; without room it serves on.
+        """
+        job, here = held.job, held.machine
+        if job is None or held.task.number not in job.live:
+            return
+        going = here.warning_s is not None
+        self._begin(job)
+        self._zones[here.site] -= 1
+        self._cold_left = 1
+        self._warm_only = not going
+        self._harmless_only = False
+        rooms = [
+            room
+            for room in self._candidates(job).rooms
+            if not room.machine.faults
+            and self._may_use(job, room)
+            and not self._avoid(job, room.machine)
+            and self._warm_enough(job.run, room)
+            and (going or strands_cards(job.run, room.machine) <= strands_cards(job.run, here))
+        ]
+        fits = self._sampled(job, [room for room in rooms if room.may_fit(job.run)])
+        parts = self._fill(job, 1, fits, whole=False, with_dying=False)
+        if parts:
+            self._commit(job, parts)
+            self.plan.moves.append(held)
+            return
+        parts = self._fill(job, 1, fits, whole=False, with_dying=True)
+        if parts:
+            self._commit(job, parts)
+        elif going:
+            self._preempt(job, 1, rooms, whole=False)
+
+    def _begin(self, job: Job) -> None:
+        """Turn to a job."""
+        self._cut = False
+        self._leave = self._per_card.for_job(job)
+        self._zones = Counter(job.zones)
+
     def _free_in(self, job: Job, room: Room) -> float:
         """Estimate when a machine will be free of all that the gang would have to wait for."""
         left = 0.0
@@ -679,9 +814,12 @@
             rooms = [room for room in rooms if self._may_use(job, room)]
         if job.failed_on:
             rooms = [room for room in rooms if not self._avoid(job, room.machine)]
-        self._cut = False
-        self._leave = self._per_card.for_job(job)
-        self._zones = Counter(job.zones)
+        self._begin(job)
+        if job.endless:
+            left -= self._place_replicas(job, left, rooms)
+            if left > 0:
+                self.plan.short.append((job, left))
+            return
         self._cold_left = self._cold_limit(job, candidates)
         self._warm_only = self._cold_left <= 0 or not self._may_go_cold(job, rooms, candidates)
         if not whole and not job.backoff_s and candidates.fetch_s(job.run) > SEED_S:
@@ -721,6 +859,34 @@
         if left > 0 and not self._cut:
             self.plan.short.append((job, left))
 
+    def _place_replicas(self, job: Job, wanted: int, rooms: list[Room]) -> int:
+        """Place what serves until it is called off, or find room to be freed for it.
+
+        Each is missed until it runs, so it goes first where the image is, stopping lesser work
+        there rather than fetching elsewhere; and, since it stays, where no large task needs the
+        room. Only then does one matter less than the other.
+        """
+        left = wanted
+        self._cold_left = wanted
+        for soon, harmless in ((True, True), (False, True), (False, False)):
+            self._warm_only, self._harmless_only = soon, harmless
+            if left > 0:
+                fits = [room for room in rooms if room.may_fit(job.run)]
+                left -= self._place_in(job, left, rooms, fits, whole=False)
+        self._warm_only = self._harmless_only = False
+        return wanted - left
+
+    def _start_s(self, run: Run, room: Room) -> float:
+        """Estimate how long a machine takes to have an image."""
+        here = room.machine
+        if run.bundle in here.images:
+            return 0.0
+        took = fetch_s(run, here.flavour.fetch_gb_per_s)
+        fetch = here.fetches.get(run.bundle)
+        if fetch is not None and here.bundles[run.bundle]:
+            return max(0.2, took - (self._now - fetch.began))
+        return took * (2.0 if self._fetches_share and room.fetches_other(run.bundle) else 1.0)
+
     def _place_in(
         self, job: Job, wanted: int, rooms: list[Room], fits: list[Room], whole: bool
     ) -> int:
@@ -769,6 +935,10 @@
         return self._now - job.wanting_since >= min(COLD_DELAY * longest, COLD_DELAY_MAX_S)
 
     def _warm_enough(self, run: Run, room: Room) -> bool:
+        if run.shape == DAEMON:
+            return (not self._warm_only or self._start_s(run, room) <= SOON_S) and (
+                not self._harmless_only or not room.displaced(run, self._kinds)
+            )
         return not self._warm_only or room.machine.warmth(run.bundle) < COLD
 
     def _plenty(self, job: Job) -> bool:
@@ -784,7 +954,7 @@
             # It failed a task and has finished none since: one more is a probe, many a waste.
             return 0 if room.machine.holds or room.seeded else 1
         warmth = room.machine.warmth(run.bundle)
-        if job.gang or warmth == WARM or self._plenty(job):
+        if job.gang or job.endless or warmth == WARM or self._plenty(job):
             return run.pieces
         if fetch_s(run, room.machine.flavour.fetch_gb_per_s) <= SEED_S:
             return run.pieces
@@ -806,16 +976,30 @@
         if job.run.spread:
             site = room.machine.site
             most = min(most, job.zone_max - self._zones[site] - chosen.get(site, 0))
+        if job.endless and self._harmless_only and most > 0:
+            most = min(most, self._harmless(job.run, room, most))
         return most
 
+    def _harmless(self, run: Run, room: Room, most: int) -> int:
+        """Tell how many replicas a machine takes that are in no large task's way."""
+        count = 0
+        lasting = room.beside_replicas()
+        while count < most and not room.displaced(run, self._kinds):
+            count += 1
+            room.last(run, 1)
+        room.restore(lasting)
+        return count
+
     def _commit(self, job: Job, parts: list[tuple[Room, int]]) -> None:
         for room, count in parts:
             room.claim(job.run, count)
+            if job.endless:
+                room.last(job.run, count)
             self._zones[room.machine.site] += count
             if not job.gang and room.machine.warmth(job.run.bundle) == COLD:
                 self._cold_left -= count
                 need = self._needs.get(job.run.bundle)
-                if need is not None:
+                if need is not None and not job.endless:
                     need.work -= count * demand(job) * job.estimate_s()
             room.seeded.add(job.run.bundle)
             self._quota.use(job.run, count)
@@ -846,17 +1030,20 @@
         # ordinary ones. A gang that lacks a member looks for the image first: all others wait, and
         # give up in turn, until the new one has it.
         mending = self._mending(job)
-        fitting.sort(
-            key=lambda r: (
-                r.machine.slow(),
-                r.fetch_rank(run, True) if mending else 0,
-                strands_cards(run, r.machine),
-                r.fetch_rank(run, job.gang),
-                r.wanted[run.cards > 0] if r.machine.warmth(run.bundle) == COLD else 0,
-                run.loaner and not r.machine.loaner,
-                r.free_share(),
+        if job.endless:
+            fitting.sort(key=lambda r: self._replica_order(run, r))
+        else:
+            fitting.sort(
+                key=lambda r: (
+                    r.machine.slow(),
+                    r.fetch_rank(run, True) if mending else 0,
+                    strands_cards(run, r.machine),
+                    r.fetch_rank(run, job.gang),
+                    r.wanted[run.cards > 0] if r.machine.warmth(run.bundle) == COLD else 0,
+                    run.loaner and not r.machine.loaner,
+                    r.free_share(),
+                )
             )
-        )
         best: list[tuple[Room, int]] = []
         best_count = 0
         best_cold = 0
@@ -888,6 +1075,17 @@
             return []
         return best
 
+    def _replica_order(self, run: Run, room: Room) -> tuple[float, ...]:
+        """Order machines for a replica: sound ones, in nobody's way, soonest, without cards."""
+        return (
+            float(bool(room.machine.faults)),
+            room.displaced(run, self._kinds),
+            round(self._start_s(run, room)),
+            strands_cards(run, room.machine),
+            float(run.loaner and not room.machine.loaner),
+            room.free_share(),
+        )
+
     def _may_stop_any(self, job: Job) -> bool:
         """Tell whether anything less important runs at all."""
         if job.guaranteed:
@@ -911,7 +1109,7 @@
         if found is None:
             now = self._now
             found = [held for held in room.machine.holds.values() if may_preempt(job, held)]
-            found.sort(key=lambda h: (-h.job.rank if h.job else 0, lost_work(h, now)))
+            found.sort(key=lambda h: (_rank_to_stop(h), lost_work(h, now)))
             room.victims[key] = found
         if found and room.stopping:
             return [held for held in found if held not in room.stopping]
@@ -928,7 +1126,7 @@
             return 0
         if not whole:
             wanted = min(wanted, PREEMPT_MAX)
-        options: list[tuple[float, int, float, int, Room, list[Hold]]] = []
+        options: list[tuple[float, float, float, int, Room, list[Hold]]] = []
         usable = [
             room
             for room in rooms
@@ -939,6 +1137,9 @@
             victims = self._victims(job, room)
             cost = sum(lost_work(held, self._now) for held in victims)
             cold = room.fetch_rank(run, True) if whole else WARM
+            if job.endless:
+                cold = round(self._start_s(run, room))
+                cost = min((lost_work(held, self._now) for held in victims), default=0.0)
             options.append((strands_cards(run, room.machine), cold, cost, number, room, victims))
         options.sort(key=lambda option: option[:4])
         if not options:
@@ -970,7 +1171,7 @@
         self,
         job: Job,
         wanted: int,
-        options: list[tuple[float, int, float, int, Room, list[Hold]]],
+        options: list[tuple[float, float, float, int, Room, list[Hold]]],
         only: Zone | None,
     ) -> list[tuple[Room, list[Hold], int]]:
         """Choose whom to stop for a job, in one zone or in any."""
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import time
 
@@ -15,9 +16,19 @@
 from . import placement, queueing
 from .dispatch import Dispatch
 from .jobs import Job, fits_flavour
-from .picture import PLANNED, RUNNING, SAVING, WARM, Hold, Machine
+from .picture import (
+    FETCHING,
+    PLANNED,
+    REPLICA_AVOID_S,
+    RUNNING,
+    SAVING,
+    WARM,
+    Hold,
+    Machine,
+)
 from .term import TermContext
 from .units import Attempt, JobId, MachineId, Steady, TaskId, attempt_of, steady_now, wall_now
+from .wire import Run
 
 log = logging.getLogger("ryewing.placer")
 
@@ -27,6 +38,9 @@
 """Times its own length that a pass is rested from: passes take a tenth of the time at the most, so
 that a leader that never comes to rest still answers workers, users and health checks first."""
 CARDS_HALF_S = 60.0
+KINDS_MAX = 32
+MOVE_AFTER_S = 15.0
+"""How long a machine must be unwanted before replicas are moved off it: each move is a gap."""
 
 
 class Placer:
@@ -47,6 +61,8 @@
         """Passes made in this term, and machines that they looked at: their cost."""
         self._attempts = 0
         self._reserved_for: JobId | None = None
+        self._kinds: dict[str, Run] = {}
+        """By class, what a task takes that was asked for lately."""
 
     def place_loop(self) -> None:
         """Make a pass whenever something has changed, at a bounded share of the time."""
@@ -89,13 +105,18 @@
             for job in (self.ctx.book.jobs[j] for j in self.ctx.book.waiting)
             if self._placeable(job, unheard, now)
         ]
+        moving = self._moving(now)
         # So many free cards work without cards must leave usable.
         cards_kept = self._want_cards(jobs, now)
-        if not jobs:
+        if not jobs and not moving:
             self.short = []
             return
         for wanting in jobs:
             self._per_card = self._per_card.widened(wanting)
+            if not wanting.endless and (
+                wanting.run.jobclass in self._kinds or len(self._kinds) < KINDS_MAX
+            ):
+                self._kinds[wanting.run.jobclass] = wanting.run
         jobs = self._ordered(jobs)
         overdue = queueing.overdue(jobs, wall_now())
         fresh = now - 2.5 * self.ctx.settings.params.workers.report_s
@@ -120,7 +141,8 @@
             cards_kept,
             self._avoid,
             self.ctx.picture.fetches_share(),
-        ).run(jobs, overdue)
+            tuple(self._kinds.values()),
+        ).run(jobs, overdue, moving)
         if plan.reserved is not None and plan.reserved[0].id != self._reserved_for:
             gang, kept = plan.reserved
             log.info("event=reserved job=%s machines=%d", gang.id, len(kept))
@@ -131,12 +153,40 @@
         for batch in plan.batches:
             self._apply(batch, now)
             planned.update(machine.id for machine, _count in batch.parts)
-        for name in planned:
+        serving = {
+            machine.id for batch in plan.batches if batch.job.endless for machine, _n in batch.parts
+        }
+        for name in sorted(planned, key=lambda name: name not in serving):
             self.dispatch.hasten(self.ctx.picture.machines[name], now)
         for held in plan.stops:
             self.dispatch.stop_hold(held, held.job.mercy_s if held.job else 0.0, "preempted", now)
+        for held in plan.moves:
+            self.dispatch.stop_hold(held, held.job.mercy_s if held.job else 0.0, "moved", now)
         self.short = plan.short
 
+    def _moving(self, now: Steady) -> list[Hold]:
+        """List the replicas that should run elsewhere: their machine is about to go, or is faulty,
+        or is kept for nothing else."""
+        found: list[Hold] = []
+        for machine in self.ctx.picture.machines.values():
+            if machine.leaving or not machine.holds or not machine.hears:
+                continue
+            if machine.warning_s is None and not machine.quarantined:
+                if not machine.retiring or now - machine.retiring_since < MOVE_AFTER_S:
+                    continue
+                if any(held.job is None or not held.job.endless for held in machine.holds.values()):
+                    continue  # it stays for those anyway
+            found.extend(
+                held
+                for held in machine.holds.values()
+                if held.job is not None
+                and held.job.endless
+                and not held.job.cancelled
+                and held.phase in (FETCHING, RUNNING)
+                and not self.ctx.stops.has(machine.id, held.task, held.attempt)
+            )
+        return found
+
     def _stopping(self, machine: Machine) -> frozenset[Hold]:
         stops = self.ctx.stops
         if not stops.any_on(machine.id):
@@ -183,6 +233,12 @@
         if job.cancelled or job.unwritten or now < job.backoff_until:
             # A job's finished batch is written before the job is refilled.
             return False
+        if job.endless and job.backoff_s:
+            if self.ctx.picture.serves(job, now):
+                job.backoff_s = 0.0
+                job.failed_on.clear()
+            elif job.live:
+                return False  # one replica tells whether it still ends at once
         if job.inherited and any(
             placement.allows(job.run, m) and fits_flavour(job.run, m.flavour) for m in unheard
         ):
@@ -217,8 +273,14 @@
         """Tell whether a machine failed the job, and the job is not what is at fault.
 
         A job that fails everywhere tries again anywhere: it avoided each machine for good, and new
-        ones were rented for it until it was cancelled.
+        ones were rented for it until it was cancelled. A replica may fail on a sound machine once
+        in a while, and its job never ends.
         """
+        if (
+            job.endless
+            and steady_now() - job.failed_on.get(machine.id, -math.inf) > REPLICA_AVOID_S
+        ):
+            return False
         return machine.id in job.failed_on and not job.backoff_s
 
     def _next_attempt(self) -> Attempt:
--- a/src/ryewing/queueing.py
+++ b/src/ryewing/queueing.py
@@ -50,6 +50,8 @@
     the first of them any more goes after those who still can.
     """
     run = job.run
+    if job.endless:
+        return ()  # it has no end that could be late
     begun = bool(job.live) or job.done_count > 0
     found: set[float] = set()
     for objective in objectives:
@@ -170,20 +172,29 @@
     # A gang that lacks members keeps all its other places waiting: found on an overloaded day,
     # where others took the room of each that gave up, and the next one had to fetch elsewhere.
     mending: list[Job] = []
+    # Replicas that don't run are missed at every moment, and take little: each rank begins with
+    # them, and those of the highest rank go before guarantees. They are no load on what comes
+    # after, since a place that is taken for good is no matter of time.
+    serving: list[Job] = []
     for job in jobs:
         if job.gang and job.live:
             mending.append(job)
             continue
+        if job.endless and job.rank == 0:
+            serving.append(job)
+            continue
         times[job] = deadlines(job, objectives)
         key = (not job.guaranteed, job.rank, job.run.cards <= 0)
         groups.setdefault(key, []).append(job)
-    result = sorted(mending, key=lambda job: (job.rank, job.at, job.id))
+    result = sorted(serving, key=lambda job: (job.at, job.id))
+    result.extend(sorted(mending, key=lambda job: (job.rank, job.at, job.id)))
     before = {False: 0.0, True: 0.0}
     for key in sorted(groups):
         cardless = key[2]
         supply = vcpus if cardless else cards
-        result.extend(_rank_order(groups[key], times, supply, before[cardless], now))
-        before[cardless] += sum(
-            job.shortfall * demand(job) * job.estimate_s() for job in groups[key] if not job.endless
-        )
+        ending = [job for job in groups[key] if not job.endless]
+        endless = [job for job in groups[key] if job.endless]
+        result.extend(sorted(endless, key=lambda job: (job.at, job.id)))
+        result.extend(_rank_order(ending, times, supply, before[cardless], now))
+        before[cardless] += sum(job.shortfall * demand(job) * job.estimate_s() for job in ending)
     return result
--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -107,6 +107,7 @@
                 self.ctx.place.set()
             elif not machine.retiring and machine.id in wanted and budget > 0:
                 machine.retiring = True
+                machine.retiring_since = steady_now()
                 budget -= 1
 
     def to_give_up(self, now: Steady) -> list[tuple[Machine, str]]:
