--- a/src/ryewing/packed.py
+++ b/src/ryewing/packed.py
@@ -37,12 +37,13 @@
 class Change:
     """One transaction's worth of values: on which versions, and what it brings up to date."""
 
-    __slots__ = ("conditions", "ops", "size", "versions")
+    __slots__ = ("conditions", "names", "ops", "size", "versions")
 
     def __init__(self) -> None:
         self.ops: list[Put] = []
         self.conditions: dict[str, Stamp] = {}
         self.versions: dict[int, int] = {}
+        self.names: dict[int, list[str]] = {}
         self.size = 0
 
 
@@ -59,6 +60,8 @@
         """Values that the store lacks, with a count of their changes."""
         self._count = 0
         self._stamps: dict[int, Stamp] = {}
+        self._there: dict[int, frozenset[str]] = {}
+        """Names of the records that the store has in a value."""
         self._stored: dict[int, int] = {}
         """The newest change of a value that is in the store."""
         self._after: dict[int, dict[int, int]] = {}
@@ -77,18 +80,14 @@
         """
         for kept in (self._records, self._sizes, self._where, self._changes):
             kept.clear()  # a reading that failed half-way is done again
-        for known in (self._stamps, self._stored, self._after):
+        for known in (self._stamps, self._stored, self._after, self._there):
             known.clear()
         found: list[tuple[str, msgspec.Raw]] = []
         twice: set[str] = set()
         for entry in sorted(entries, key=lambda entry: entry.stamp):
             number = int(entry.k[len(self._prefix) :])
-            records = {
-                name: msgspec.Raw(bytes(record))
-                for name, record in msgspec.json.decode(
-                    entry.data, type=dict[str, msgspec.Raw]
-                ).items()
-            }
+            records = {name: msgspec.Raw(bytes(record)) for name, record in _records(entry).items()}
+            self._there[number] = frozenset(records)
             found.extend(records.items())
             self._records[number] = records
             self._stamps[number] = Stamp(entry.stamp)
@@ -158,7 +157,8 @@
             self._sizes[other] += size
             self._touch(number)
             self._touch(other)
-            self._wait_for(number, other)
+            if name in self._there.get(number, ()):
+                self._wait_for(number, other)
 
     def lower(self, change: Change) -> bool:
         """The store won't take values of this size: make them smaller; False if that's no help."""
@@ -208,6 +208,7 @@
             change.ops.append(Put(self.key(each), dict(self._records[each])))
             change.conditions[self.key(each)] = self._stamps.get(each, Stamp(0))
             change.versions[each] = self._changes.get(each, 0)
+            change.names[each] = list(self._records[each])
             change.size += size
         return change
 
@@ -216,12 +217,22 @@
         for number, version in change.versions.items():
             self._stamps[number] = Stamp(epoch)
             self._stored[number] = version
+            self._there[number] = frozenset(change.names[number])
             if self._changes.get(number) == version:
                 del self._changes[number]
                 self._after.pop(number, None)
 
-    def found(self, key: str, stamp: Stamp) -> None:
+    def found(self, key: str, entry: Entry | None) -> None:
         """The store has another version: an earlier write of ours was applied after all."""
         number = int(key[len(self._prefix) :])
-        self._stamps[number] = stamp
+        self._stamps[number] = Stamp(entry.stamp if entry is not None else 0)
+        self._there[number] = frozenset(_records(entry) if entry is not None else ())
         self._touch(number)
+        for name in self._there[number]:
+            other = self._where.get(name, number)
+            if other > number and other in self._changes:
+                self._wait_for(number, other)
+
+
+def _records(entry: Entry) -> dict[str, msgspec.Raw]:
+    return msgspec.json.decode(entry.data, type=dict[str, msgspec.Raw])
--- a/src/ryewing/writer.py
+++ b/src/ryewing/writer.py
@@ -190,8 +190,7 @@
                 done()
 
         def conflict(key: str) -> None:
-            entry = self.ctx.store.get(key)
-            packed.found(key, Stamp(entry.stamp if entry is not None else 0))
+            packed.found(key, self.ctx.store.get(key))
 
         return _Write(
             change.ops,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,7 +21,11 @@
         "placer",
         "renter",
         "term",
+        "writer",
     ):
         monkeypatch.setattr(f"ryewing.{part}.steady_now", clock)
     monkeypatch.setattr("ryewing.placer.wall_now", lambda: 0.0)
-    yield Stage(clock)
+    found = Stage(clock)
+    yield found
+    if not found.may_reject:
+        assert not found.store.rejected
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -4,12 +4,14 @@
 
 from typing import Any
 
+import msgspec
 from standins import Clock, FakeCloud, FakeStore, FakeWorker, mandate, policy, run, settings
 
 from ryewing.jobs import JobRecord, live_key
 from ryewing.leader import Leader
 from ryewing.leadership import TERM_KEY, Authority
 from ryewing.mesh import ImageHint
+from ryewing.settings import NextLimits
 from ryewing.store import Put
 from ryewing.units import JobId, MachineId, Stamp, Token
 from ryewing.wire import Order, Report
@@ -38,7 +40,10 @@
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
+        self.settings = settings()
         self.store = FakeStore()
+        self.may_reject = False
+        """The case is about a store that refuses what is too large."""
         self.cloud = FakeCloud()
         self.workers: dict[str, FakeWorker] = {}
         self.lost: list[str] = []
@@ -52,7 +57,7 @@
         result = self.store.txn({}, [Put(TERM_KEY, {"term": term})])
         won.term_stamp = Stamp(result.epoch)
         leader = Leader(
-            settings(),
+            self.settings,
             policy(),
             self.store,  # type: ignore[arg-type]
             won,
@@ -70,6 +75,18 @@
         self.leader = leader
         return leader
 
+    def announce(self, **limits: Any) -> None:
+        """Announce the store's next limits, to leaders that begin from now on."""
+        params = self.settings.params
+        state = msgspec.structs.replace(params.state, next=NextLimits(**limits))
+        self.settings = msgspec.structs.replace(
+            self.settings, params=msgspec.structs.replace(params, state=state)
+        )
+
+    def narrow(self, **limits: Any) -> None:
+        """Let the store's limits fall."""
+        self.store.limits = msgspec.structs.replace(self.store.limits, **limits)
+
     def later(self, seconds: float, renewed: bool = True) -> None:
         self.clock.now += seconds
         if renewed:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, NoReturn
 
 import msgspec
 
@@ -15,7 +15,7 @@
 from ryewing.leadership import Authority, Mandate
 from ryewing.policy import Policy, defaults
 from ryewing.settings import Settings
-from ryewing.store import Compacted, LeaseLost, Put, Remove, StoreDown, TxnResult
+from ryewing.store import Compacted, LeaseLost, Put, Rejected, Remove, StoreDown, TxnResult
 from ryewing.units import Epoch, MachineId, Stamp, Steady, Term
 from ryewing.wire import (
     Change,
@@ -122,6 +122,8 @@
 
     def __init__(self) -> None:
         self.limits = settings().params.state
+        self.rejected: list[str] = []
+        """What was refused for being too large, or too many changes at once."""
         self.data: dict[str, tuple[bytes, int, int | None]] = {}
         self.epoch = 0
         self.log: list[Change] = []
@@ -134,6 +136,10 @@
         if self.down:
             raise StoreDown("503")
 
+    def _reject(self, why: str) -> NoReturn:
+        self.rejected.append(why)
+        raise Rejected(f"400: {why}")
+
     def get(self, key: str) -> Entry | None:
         self._check()
         if key not in self.data:
@@ -153,7 +159,13 @@
     def txn(self, conditions: dict[str, Stamp], writes: list[Put | Remove]) -> TxnResult:
         self._check()
         writes = list(writes)
-        assert len(writes) <= self.limits.txn_ops, "above txn_ops"
+        if len(writes) > self.limits.txn_ops:
+            self._reject(f"{len(writes)} changes")
+        for write in writes:
+            if isinstance(write, Put):
+                size = len(msgspec.json.encode(write.value))
+                if size > self.limits.value_kb * 1024:
+                    self._reject(f"{write.key}: {size} bytes")
         self.writes += len(writes)
         failed = {
             key
@@ -169,7 +181,6 @@
         for write in writes:
             if isinstance(write, Put):
                 value = msgspec.json.encode(write.value)
-                assert len(value) <= self.limits.value_kb * 1024, "above value_kb"
                 self.data[write.key] = (value, self.epoch, write.tenancy)
                 self.log.append(Change(self.epoch, set=write.key, data=msgspec.Raw(value)))
             elif self.data.pop(write.key, None) is not None:
