--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -33,9 +33,9 @@
 """The part of an overdue array that goes before everything."""
 PLENTY = 1.5
 """Room is plenty when it is so many times what all waiting jobs ask for."""
-SOON_S = 2.0
-"""What a replica may wait for a report and its image where others would have to be stopped for it
-elsewhere."""
+SOON_S, SOON_PART = 2.0, 0.5
+"""What a replica may wait for a report and its image where it would wait longer, or others would
+have to be stopped for it, elsewhere; and the same as a part of the shortest fetch."""
 REPLICA_LOSS_S = 600.0
 """What stopping a replica counts as: it is among the last to be stopped for anything."""
 LARGE_SHARE = 0.125
@@ -418,13 +418,16 @@
 class Allowed:
     """The machines that jobs of one kind may use, and what this pass found out about them."""
 
-    __slots__ = ("_fitting", "_free", "full", "rooms", "slowest_fetch")
+    __slots__ = ("_fitting", "_free", "_quickest", "full", "rooms", "slowest_fetch")
 
     def __init__(self, rooms: list[Room]) -> None:
         self.rooms = rooms
         self.slowest_fetch = min(
             (room.machine.flavour.fetch_gb_per_s for room in rooms), default=math.inf
         )
+        self._quickest = max(
+            (room.machine.flavour.fetch_gb_per_s for room in rooms), default=math.inf
+        )
         self._free: dict[bool, list[Room]] = {}
         self._fitting: list[tuple[Run, list[Room]]] = []
         self.full: dict[tuple[int, bool, str | None], list[tuple[float, float, float]]] = {}
@@ -435,6 +438,10 @@
         """Estimate how long the slowest of these machines takes to fetch the job's image."""
         return fetch_s(run, self.slowest_fetch)
 
+    def quickest_s(self, run: Run) -> float:
+        """Estimate how long the quickest of these machines takes to fetch the job's image."""
+        return fetch_s(run, self._quickest)
+
     @staticmethod
     def _claim(job: Job) -> tuple[int, bool, str | None]:
         return (job.rank, job.run.cards > 0, job.run.owner if job.guaranteed else None)
@@ -531,6 +538,8 @@
         self._report_in = report_in
         self._kinds = kinds
         """What else is run lately: one of each class."""
+        self._soon_s = SOON_S
+        """What wait is short for the replicas at hand."""
         self._harmless_only = False
         """The replicas at hand are to be in no large task's way."""
         self._groups: dict[tuple[str, Zone, bool], list[Room]] = {}
@@ -688,6 +697,7 @@
         self._cold_left = 1
         self._warm_only = not going
         self._harmless_only = False
+        self._soon_s = self._soon(job)
         rooms = [
             room
             for room in self._candidates(job).rooms
@@ -886,6 +896,7 @@
         """
         left = wanted
         self._cold_left = wanted
+        self._soon_s = self._soon(job)
         fresh = [room for room in rooms if room.machine.id not in job.kept_by]
         for soon, harmless, among in (
             (True, True, fresh),
@@ -900,6 +911,10 @@
         self._warm_only = self._harmless_only = False
         return wanted - left
 
+    def _soon(self, job: Job) -> float:
+        """Tell what wait is short for a replica: well below the shortest fetch."""
+        return max(SOON_S, SOON_PART * self._candidates(job).quickest_s(job.run))
+
     def _start_s(self, run: Run, room: Room) -> float:
         """Estimate when a replica would run: the worker has to report first, and have the image."""
         if room.report_in is None:
@@ -965,7 +980,7 @@
 
     def _warm_enough(self, run: Run, room: Room) -> bool:
         if run.shape == DAEMON:
-            return (not self._warm_only or self._start_s(run, room) <= SOON_S) and (
+            return (not self._warm_only or self._start_s(run, room) <= self._soon_s) and (
                 not self._harmless_only or not room.displaced(run, self._kinds)
             )
         return not self._warm_only or room.machine.warmth(run.bundle) < COLD
