--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -146,7 +146,12 @@
                         self._set_flavours,
                         self._hint,
                     )
-                    log.info("event=leading node=%s term=%d", self.name, mandate.term)
+                    log.info(
+                        "event=leading node=%s term=%d version=%s",
+                        self.name,
+                        mandate.term,
+                        __version__,
+                    )
                     self.leader = leader
                     self._leader_name = self.name
                     self._leader_term = mandate.term
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -198,18 +198,18 @@
                 and not self.ctx.stops.has(machine.id, held.task, held.attempt)
             )
         # Of those that may as well stay only as many as their class hardly misses.
-        for held in unwanted:
-            if held.job is not None and self._may_miss(held.job, now):
+        by_class = {held.job.run.jobclass: held for held in unwanted if held.job is not None}
+        for name, held in by_class.items():
+            if self._may_miss(name, now):
                 return [*found, held]
         return found
 
-    def _may_miss(self, job: Job, now: Steady) -> bool:
-        name = job.run.jobclass
+    def _may_miss(self, jobclass: str, now: Steady) -> bool:
         serving = sum(
-            other.running for other in self.ctx.book if other.endless and other.run.jobclass == name
+            job.running for job in self.ctx.book if job.endless and job.run.jobclass == jobclass
         )
         gap = MOVE_GAP_S / (MOVE_SHARE * max(1, serving))
-        return now - self._moved_at.get(name, self.ctx.began) >= gap
+        return now - self._moved_at.get(jobclass, self.ctx.began) >= gap
 
     def _stopping(self, machine: Machine) -> frozenset[Hold]:
         stops = self.ctx.stops
