--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -41,6 +41,9 @@
 DISPLACED_FOR_SOON = 0.5
 """The part of a machine that a replica may keep large tasks off rather than fetch an image: beside
 two gang tasks a machine had room for two replicas, so that half of all had to fetch anew."""
+CROWD = 4
+"""So many replicas on one machine are fullest first; beyond, others that are as soon come first: a
+machine that dies takes all of them."""
 LARGE_SHARE = 0.125
 """A task that takes so much of a machine is large: a few replicas can be in its way."""
 PREEMPT_MAX = 64
@@ -85,6 +88,7 @@
     __slots__ = (
         "_displaced",
         "_lasting",
+        "_replicas",
         "cards",
         "dying_cards",
         "dying_mem",
@@ -110,7 +114,7 @@
         self.report_in: float | None = None
         """How soon its worker is thought to report, found once a pass."""
         self.stopping: set[Hold] = set(stopping)
-        self.victims: dict[tuple[int, str | None], list[Hold]] = {}
+        self.victims: dict[tuple[int, str | None, bool], list[Hold]] = {}
         """Whom a job of some rank (or a team's guarantee) may stop here, found once a pass."""
         self.seeded: set[str] = set()
         """Images for which this pass has placed a task here."""
@@ -119,6 +123,7 @@
         self._lasting: tuple[float, float, float] | None = None
         """What is left beside the replicas here: what work that ends can count on."""
         self._displaced: dict[tuple[float, float, float], float] = {}
+        self._replicas: int | None = None
         self.dying_vcpus = self.dying_cards = self.dying_mem = 0.0
         for held in stopping:
             self._add_dying(held)
@@ -179,13 +184,25 @@
             self._lasting = vcpus, cards, mem
         return self._lasting
 
+    def replicas(self) -> int:
+        """Count the replicas here, with those placed in this pass."""
+        if self._replicas is None:
+            holds = self.machine.holds.values()
+            self._replicas = sum(held.job is not None and held.job.endless for held in holds)
+        return self._replicas
+
+    def settle(self, run: Run, count: int) -> None:
+        """Replicas are placed here."""
+        self._replicas = self.replicas() + count
+        self.last(run, count)
+
     def restore(self, lasting: tuple[float, float, float]) -> None:
         """Take back what `last` has counted since."""
         self._lasting = lasting
         self._displaced.clear()
 
     def last(self, run: Run, count: int) -> None:
-        """Count replicas that are placed here: they take their room for good."""
+        """Count replicas as if they were here: they take their room for good."""
         vcpus, cards, mem = self.beside_replicas()
         self._lasting = (
             vcpus - run.vcpus * count,
@@ -394,6 +411,13 @@
     return now - held.ran_from
 
 
+def saving_s(held: Hold) -> float:
+    """Tell how long a stopped task goes on, to save; a replica counts as the last to stop."""
+    if held.job is None:
+        return 0.0
+    return REPLICA_LOSS_S if held.job.endless else held.job.mercy_s
+
+
 def _rank_to_stop(held: Hold) -> tuple[bool, int]:
     """Order whom to stop first: what ends anyway, and of that the least important."""
     if held.job is None:
@@ -925,6 +949,11 @@
             room.report_in = self._report_in(room.machine)
         return room.report_in + self._image_s(run, room)
 
+    def _freed_s(self, job: Job, room: Room) -> float:
+        """Estimate when a replica would run where something has to be stopped for it first."""
+        victims = self._victims(job, room)
+        return self._start_s(job.run, room) + (saving_s(victims[0]) if victims else 0.0)
+
     def _image_s(self, run: Run, room: Room) -> float:
         here = room.machine
         if run.bundle in here.images:
@@ -1046,7 +1075,7 @@
         for room, count in parts:
             room.claim(job.run, count)
             if job.endless:
-                room.last(job.run, count)
+                room.settle(job.run, count)
             self._zones[room.machine.site] += count
             if not job.gang and room.machine.warmth(job.run.bundle) == COLD:
                 self._cold_left -= count
@@ -1134,6 +1163,7 @@
             room.displaced(run, self._kinds),
             round(self._start_s(run, room)),
             dearness(run, room.machine),
+            max(0, room.replicas() - CROWD),
             float(run.loaner and not room.machine.loaner),
             room.free_share(),
         )
@@ -1156,12 +1186,17 @@
 
     def _victims(self, job: Job, room: Room) -> list[Hold]:
         """List whom the job may stop on a machine, the least lost first."""
-        key = (job.rank, job.run.owner if job.guaranteed else None)
+        key = (job.rank, job.run.owner if job.guaranteed else None, job.endless)
         found = room.victims.get(key)
         if found is None:
             now = self._now
             found = [held for held in room.machine.holds.values() if may_preempt(job, held)]
-            found.sort(key=lambda h: (_rank_to_stop(h), lost_work(h, now)))
+            if job.endless:
+                # Found in an incident: what was stopped saved its work first, and the replica was
+                # missed for five seconds more.
+                found.sort(key=lambda h: (saving_s(h), _rank_to_stop(h), lost_work(h, now)))
+            else:
+                found.sort(key=lambda h: (_rank_to_stop(h), lost_work(h, now)))
             room.victims[key] = found
         if found and room.stopping:
             return [held for held in found if held not in room.stopping]
@@ -1184,13 +1219,14 @@
             for room in rooms
             if self._warm_enough(run, room)
             and (self._victims(job, room) or (whole and room.may_fit(run)))
+            and (not job.endless or not self._warm_only or self._freed_s(job, room) <= self._soon_s)
         ]
         for number, room in enumerate(self._sampled(job, usable)):
             victims = self._victims(job, room)
             cost = sum(lost_work(held, self._now) for held in victims)
             cold = room.fetch_rank(run, True) if whole else WARM
             if job.endless:
-                cold = round(self._start_s(run, room))
+                cold = round(self._freed_s(job, room))
                 cost = min((lost_work(held, self._now) for held in victims), default=0.0)
             options.append((strands_cards(run, room.machine), cold, cost, number, room, victims))
         options.sort(key=lambda option: option[:4])
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -296,6 +296,36 @@
     assert spread_of(plan(quick, quick.job("run-1", **SERVICE, pieces=1))) == {"i-1": 1}
 
 
+def test_what_exits_at_once_is_stopped_for_a_replica_rather_than_what_saves_first() -> None:
+    """Found in an incident: a task that saved for five seconds had least to lose."""
+    world = World()
+    warm = world.machine("i-1")
+    warm.note_image("img-1", 2.0)
+    saves = world.job("run-8", pieces=4, bundle="img-9", savepoint_s=10.0, flush_s=5.0)
+    world.put(saves, warm, 4)
+    world.put(world.job("run-9", pieces=4, bundle="img-9"), warm, 4)
+    found = plan(world, world.job("run-1", **SERVICE, pieces=1))
+    assert [held.task.job for held in found.stops] == ["run-9"]
+    only = World()
+    slow = only.machine("i-1")
+    slow.note_image("img-1", 2.0)
+    only.put(only.job("run-8", pieces=8, savepoint_s=10.0, flush_s=9.0, bundle="img-9"), slow, 8)
+    only.machine("i-2")  # ten seconds for the image: no later than the save
+    small = only.job("run-1", **{**SERVICE, "image_gb": 1.0}, pieces=1)
+    assert list(spread_of(plan(only, small))) == ["i-2"]
+
+
+def test_replicas_are_not_all_on_one_machine() -> None:
+    """One machine held most of a small site's replicas, and died."""
+    world = World()
+    for name in ("i-1", "i-2", "i-3"):
+        world.machine(name).note_image("img-1", 2.0)
+    for n in range(3):
+        world.put(world.job(f"run-{n}", **SERVICE, pieces=2), world.machine("i-1"), 2)
+    found = plan(world, world.job("run-9", **SERVICE, pieces=2))
+    assert "i-1" not in spread_of(found)
+
+
 def test_a_fetch_that_is_soon_over_is_not_worth_stopping_anything() -> None:
     world = World()
     warm = world.machine("i-1")
