--- a/src/ryewing/fleet.py
+++ b/src/ryewing/fleet.py
@@ -11,8 +11,8 @@
 
 from .jobs import Job, count_fitting, fits_flavour
 from .picture import Machine
-from .placement import allows
 from .policy import Policy
+from .rooms import allows
 from .units import MachineId, Steady, Zone
 from .wire import Flavour, Run
 
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -13,7 +13,7 @@
 
 import gevent
 
-from . import placement, queueing
+from . import placement, preemption, queueing
 from .dispatch import Dispatch
 from .jobs import Job, fits_flavour
 from .picture import (
@@ -26,6 +26,7 @@
     Hold,
     Machine,
 )
+from .rooms import NO_CARDS, Quota, Room, allows
 from .term import TermContext
 from .units import Attempt, JobId, MachineId, Steady, TaskId, attempt_of, steady_now, wall_now
 from .wire import Run
@@ -56,7 +57,7 @@
         self.short: list[tuple[Job, int]] = []
         self._guarantees = any(t.cpus or t.gpus for t in ctx.settings.params.teams)
         self._rng = random.Random()
-        self._per_card = placement.NO_CARDS
+        self._per_card = NO_CARDS
         self.cards_wanted = 0.0
         """The cards in use and asked for; the memory of it halves in a minute."""
         self._cards_seen_at = ctx.began
@@ -104,7 +105,7 @@
         self.ctx.picture.unplan(now, 2 * self.ctx.settings.params.workers.report_s + 2)
         unheard = list(self.ctx.picture.unheard())
         if self._guarantees:
-            placement.mark_guarantees(self.ctx.book, self.ctx.teams)
+            preemption.mark_guarantees(self.ctx.book, self.ctx.teams)
         jobs = [
             job
             for job in (self.ctx.book.jobs[j] for j in self.ctx.book.waiting)
@@ -125,11 +126,11 @@
         jobs = self._ordered(jobs)
         overdue = queueing.overdue(jobs, wall_now())
         fresh = now - 2.5 * self.ctx.settings.params.workers.report_s
-        rooms = []
+        free: list[Room] = []
         for machine in self.ctx.picture.machines.values():
             if machine.usable() and machine.heard_at is not None and machine.heard_at > fresh:
-                rooms.append(placement.Room(machine, self._stopping(machine)))
-        quota = placement.Quota(
+                free.append(Room(machine, self._stopping(machine)))
+        quota = Quota(
             self.ctx.teams,
             self.ctx.picture.team_vcpus,
             self.ctx.picture.team_cards,
@@ -137,7 +138,7 @@
             sum(m.flavour.cards for m in unheard),
         )
         plan = placement.Pass(
-            rooms,
+            free,
             quota,
             now,
             self._rng,
@@ -264,7 +265,7 @@
             elif job.live:
                 return False  # one replica tells whether it still ends at once
         if job.inherited and any(
-            placement.allows(job.run, m) and fits_flavour(job.run, m.flavour) for m in unheard
+            allows(job.run, m) and fits_flavour(job.run, m.flavour) for m in unheard
         ):
             # Which of its tasks an unheard machine holds can't be known.
             return False
--- /dev/null
+++ b/src/ryewing/preemption.py
@@ -0,0 +1,90 @@
+"""Who may be stopped for whom, and what that loses.
+
+Pure: the clock is passed in. Guarantees are judged here too, since they decide it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .jobs import EPSILON, Job
+from .picture import SAVING, Hold
+from .settings import Team
+from .units import Steady
+
+REPLICA_LOSS_S = 600.0
+"""What stopping a replica counts as: it is among the last to be stopped for anything."""
+
+
+def mark_guarantees(jobs: Iterable[Job], teams: dict[str, Team]) -> None:
+    """Mark the jobs that fit into their team's guarantee with the team's earlier ones.
+
+    Judged once, when a job comes. Judged again and again, the oldest jobs of a team that asks for
+    far more than its guarantee would always be within it, and late ones would go first.
+    """
+    jobs = list(jobs)
+    if all(job.judged for job in jobs):
+        return
+    used: dict[str, tuple[float, float]] = {}
+    for job in sorted(jobs, key=lambda j: (j.at, j.id)):
+        team = teams.get(job.run.owner)
+        if job.cancelled or team is None or not (team.cpus or team.gpus):
+            job.judged = True
+            continue
+        left = job.run.pieces - job.done_count
+        vcpus, cards = used.get(team.name, (0.0, 0.0))
+        vcpus += job.run.vcpus * left
+        cards += job.run.cards * left
+        used[team.name] = (vcpus, cards)
+        if job.judged:
+            continue
+        job.judged = True
+        counted = (team.cpus and job.run.vcpus) or (team.gpus and job.run.cards)
+        job.guaranteed = bool(
+            counted
+            and (not team.cpus or vcpus <= team.cpus + EPSILON)
+            and (not team.gpus or cards <= team.gpus + EPSILON)
+        )
+
+
+def lost_work(held: Hold, now: Steady) -> float:
+    """Estimate the run time lost by stopping a task now, saving if it can."""
+    if held.ran_from is None or held.job is None:
+        return 0.0
+    run = held.job.run
+    if held.job.endless:
+        return REPLICA_LOSS_S
+    if run.savepoint_s > 0:
+        return run.flush_s
+    return now - held.ran_from
+
+
+def saving_s(held: Hold) -> float:
+    """Tell how long a stopped task goes on, to save; a replica counts as the last to stop."""
+    if held.job is None:
+        return 0.0
+    return REPLICA_LOSS_S if held.job.endless else held.job.mercy_s
+
+
+def rank_to_stop(held: Hold) -> tuple[bool, int]:
+    """Order whom to stop first: what ends anyway, and of that the least important."""
+    if held.job is None:
+        return False, 0
+    return held.job.endless, -held.job.rank
+
+
+def may_preempt(job: Job, held: Hold) -> bool:
+    """Tell whether this task may be stopped for the job.
+
+    Guaranteed work gives way to nobody: otherwise a borrower of higher rank and the owner of a
+    guarantee could stop each other by turns. Gangs of several tasks are left alone: stopping
+    one task of them loses the whole gang.
+    """
+    other = held.job
+    if other is None or other.guaranteed or held.phase == SAVING:
+        return False
+    if other.gang and other.run.pieces > 1:
+        return False
+    if other.rank > job.rank:
+        return True
+    return job.guaranteed and other.run.owner != job.run.owner and other.rank >= job.rank
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -19,6 +19,7 @@
 from ryewing.picture import RAN_WELL_S, RUNNING, Hold, Machine
 from ryewing.placement import SOON_S
 from ryewing.placer import MOVE_AFTER_S, MOVE_GAP_S, MOVE_SHARE
+from ryewing.rooms import Quota, Room
 from ryewing.settings import Objective
 from ryewing.store import Put
 from ryewing.units import Attempt, JobId, MachineId, Steady, TaskId, WallTime, Zone
@@ -240,8 +241,8 @@
     world.put(world.job("run-9", **{**SERVICE, "vcpus": 8.0, "pieces": 1}), machine, 1)
     gang = world.job("run-1", shape="group", pieces=1, vcpus=32.0, rank="standard")
     plan = placement.Pass(
-        [placement.Room(machine)],
-        placement.Quota(TEAMS, {}, {}),
+        [Room(machine)],
+        Quota(TEAMS, {}, {}),
         Steady(T0 + 200),
         random.Random(1),
         64,
@@ -275,8 +276,8 @@
 
 
 def plan(world: World, *jobs: Job, **ways: Any) -> placement.Plan:
-    quota = placement.Quota(TEAMS, world.picture.team_vcpus, world.picture.team_cards)
-    rooms = [placement.Room(m) for m in world.picture.machines.values() if m.usable()]
+    quota = Quota(TEAMS, world.picture.team_vcpus, world.picture.team_cards)
+    rooms = [Room(m) for m in world.picture.machines.values() if m.usable()]
     moving = ways.pop("moving", ())
     return placement.Pass(rooms, quota, Steady(T0 + 100), random.Random(1), 64, **ways).run(
         jobs, (), moving
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -15,6 +15,7 @@
 from ryewing import placement, queueing
 from ryewing.jobs import Book, Job, JobRecord
 from ryewing.picture import RUNNING, Hold, Picture
+from ryewing.rooms import Quota, Room
 from ryewing.settings import Team
 from ryewing.stops import Stops
 from ryewing.units import Attempt, MachineId, Stamp, Steady, TaskId, Term, WallTime, Zone
@@ -70,9 +71,9 @@
         supply = queueing.Supply(total, free)
         now = WallTime(self.now)
         ordered = queueing.order(jobs, settings().params.objectives, supply, supply, now)
-        rooms = [placement.Room(m) for m in self.picture.machines.values()]
+        rooms = [Room(m) for m in self.picture.machines.values()]
         teams = {"red": Team("red"), "blue": Team("blue")}
-        quota = placement.Quota(teams, {}, {})
+        quota = Quota(teams, {}, {})
         plan = placement.Pass(rooms, quota, Steady(self.now), self.rng, 64).run(
             ordered, queueing.overdue(ordered, now)
         )
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -9,13 +9,14 @@
 import pytest
 from standins import CPU, GPU, RAW_SETTINGS, job, policy, run, settings
 
-from ryewing import placement, queueing
+from ryewing import placement, preemption, queueing
 from ryewing.budget import Budget
 from ryewing.fleet import Shelf, options_for, to_return, wishes
 from ryewing.jobs import Book, Job, JobRecord, impossible
 from ryewing.leadership import Authority, Holder, View, may_campaign
 from ryewing.picture import RUNNING, Machine, Picture
 from ryewing.policy import BadPolicy, load
+from ryewing.rooms import NO_CARDS, Quota, Room
 from ryewing.settings import BadSettings, Settings, Team
 from ryewing.settings import load as load_settings
 from ryewing.stops import RESEND_S, Stops
@@ -359,11 +360,11 @@
         unseen: tuple[float, float] = (0.0, 0.0),
         kept: float = 99.0,
     ) -> placement.Plan:
-        per_card = placement.NO_CARDS
+        per_card = NO_CARDS
         for one in self.book:
             per_card = per_card.widened(one)
-        quota = placement.Quota(TEAMS, self.picture.team_vcpus, self.picture.team_cards, *unseen)
-        rooms = [placement.Room(m) for m in self.picture.machines.values() if m.usable()]
+        quota = Quota(TEAMS, self.picture.team_vcpus, self.picture.team_cards, *unseen)
+        rooms = [Room(m) for m in self.picture.machines.values() if m.usable()]
         return placement.Pass(
             rooms, quota, Steady(T0 + now), random.Random(1), sample, per_card, kept
         ).run(jobs)
@@ -523,7 +524,7 @@
     one = world.job("run-1", rank=rank, owner=owner)
     one.guaranteed = guaranteed
     held = next(iter(machine.holds.values()))
-    assert placement.may_preempt(one, held) is expected
+    assert preemption.may_preempt(one, held) is expected
 
 
 def test_room_being_freed_is_claimed_once() -> None:
@@ -732,11 +733,11 @@
         job("run-4", at=3.0, cards=0.0, pieces=1),
         job("run-5", at=9.0, cards=1.0, pieces=4, owner="blue"),
     ]
-    placement.mark_guarantees(jobs, TEAMS)
+    preemption.mark_guarantees(jobs, TEAMS)
     assert [one.guaranteed for one in jobs] == [True, False, False, False, True]
     for index in range(3):
         jobs[0].finish(index)
-    placement.mark_guarantees(jobs, TEAMS)  # judged once, when a job comes
+    preemption.mark_guarantees(jobs, TEAMS)  # judged once, when a job comes
     assert [one.guaranteed for one in jobs] == [True, False, False, False, True]
 
 
@@ -855,5 +856,5 @@
 
 
 def test_team_without_limit_has_no_limit() -> None:
-    quota = placement.Quota({"t": Team("t")}, {}, {})
+    quota = Quota({"t": Team("t")}, {}, {})
     assert quota.headroom(run(owner="t"), 1000) == 1000
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -19,6 +19,7 @@
 from ryewing.node import API_SHARE, MESH_SHARE
 from ryewing.packed import Packed
 from ryewing.picture import RUNNING, Picture
+from ryewing.rooms import Quota, Room
 from ryewing.stops import Stops
 from ryewing.store import Put, StoreDown
 from ryewing.units import (
@@ -68,8 +69,8 @@
 
     def plan(self, *jobs: Job) -> placement.Plan:
         teams = {team.name: team for team in settings().params.teams}
-        rooms = [placement.Room(machine) for machine in self.picture.machines.values()]
-        quota = placement.Quota(teams, {}, {})
+        rooms = [Room(machine) for machine in self.picture.machines.values()]
+        quota = Quota(teams, {}, {})
         now = Steady(T0 + 100.0)
         return placement.Pass(rooms, quota, now, random.Random(7), policy().sample).run(jobs)
 
