Replicas fetch where the next ones find room beside them

Cause: fullest first chose machines of gangs, which don't give way, so that later services of the same image fetched anew.

--- a/src/ryewing/placement.py
+++ b/src/ryewing/placement.py
@@ -726,6 +726,8 @@
             round(self._start_s(run, room)),
             dearness(run, room.machine),
             max(0, room.replicas() - CROWD),
+            # Where it has to fetch, the next ones are to find room beside it.
+            -room.yielding() if room.machine.warmth(run.bundle) == COLD else 0.0,
             float(run.loaner and not room.machine.loaner),
             room.free_share(),
         )
--- a/src/ryewing/rooms.py
+++ b/src/ryewing/rooms.py
@@ -58,6 +58,7 @@
         "_displaced",
         "_lasting",
         "_replicas",
+        "_yielding",
         "cards",
         "dying_cards",
         "dying_mem",
@@ -93,6 +94,7 @@
         """What is left beside the replicas here: what work that ends can count on."""
         self._displaced: dict[tuple[float, float, float], float] = {}
         self._replicas: int | None = None
+        self._yielding: float | None = None
         self.dying_vcpus = self.dying_cards = self.dying_mem = 0.0
         for held in stopping:
             self._add_dying(held)
@@ -153,6 +155,16 @@
             self._lasting = vcpus, cards, mem
         return self._lasting
 
+    def yielding(self) -> float:
+        """Count the processors that are free, or used by what replicas may stop."""
+        if self._yielding is None:
+            self._yielding = self.machine.flavour.vcpus
+            for held in self.machine.holds.values():
+                job = held.job
+                if job is not None and (job.endless or (job.gang and job.run.pieces > 1)):
+                    self._yielding -= job.run.vcpus
+        return self._yielding
+
     def replicas(self) -> int:
         """Count the replicas here, with those placed in this pass."""
         if self._replicas is None:
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -400,6 +400,16 @@
     assert sum(spread_of(more).values()) == 6  # where there is no other room, they go
 
 
+def test_where_a_replica_has_to_fetch_the_next_ones_find_room() -> None:
+    """Fullest first chose machines of gangs, which don't give way: half of all fetched anew."""
+    world = World()
+    gangs, arrays = world.machine("i-1"), world.machine("i-2")
+    world.put(world.job("run-8", shape="group", pieces=7), gangs, 7)
+    world.put(world.job("run-9", pieces=6), arrays, 6)
+    found = plan(world, world.job("run-1", **{**SERVICE, "bundle": "img-s"}, pieces=1))
+    assert spread_of(found) == {"i-2": 1}
+
+
 @pytest.mark.parametrize(("large_vcpus", "expected"), [(16.0, "i-1"), (32.0, "i-2")])
 def test_half_a_machine_of_large_tasks_is_kept_off_rather_than_fetching(
     large_vcpus: float, expected: str
