--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -273,8 +273,7 @@
         print(f"{world.controllers[n]}: replaced", flush=True)
         processes[n] = subprocess.Popen(command, env=os.environ.copy())
     gevent.sleep(UPGRADE_EVERY_S)
-    limits = world.store.limits
-    world.store.limits = msgspec.structs.replace(limits, value_kb=2.0, txn_ops=4)
+    world.store.limits = msgspec.structs.replace(world.store.limits, **NEXT_LIMITS)
     print("the store's limits have fallen", flush=True)
 
 
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
 from typing import Any
 
 import msgspec
@@ -11,11 +10,11 @@
 from stage import Stage, starts, verbs
 from standins import CPU, GPU, FakeWorker, job, policy, run
 from test_api import Client
-from test_pure import FLAVOURS, T0, TEAMS, World, order_of
+from test_pure import FLAVOURS, T0, TEAMS, World, order_of, spread_of
 
 from ryewing import placement, queueing
 from ryewing.fleet import Shelf, to_retire, wishes
-from ryewing.jobs import Job, final_key, impossible
+from ryewing.jobs import final_key, impossible
 from ryewing.picture import RAN_WELL_S, RUNNING, Hold, Machine
 from ryewing.placement import SOON_S
 from ryewing.placer import MOVE_AFTER_S, MOVE_GAP_S, MOVE_SHARE
@@ -55,14 +54,6 @@
         assert impossible(run(**{**SERVICE, **changes}), FLAVOURS, TEAMS)
 
 
-def spread_of(found: placement.Plan) -> Counter[str]:
-    counts: Counter[str] = Counter()
-    for batch in found.batches:
-        for machine, count in batch.parts:
-            counts[machine.id] += count
-    return counts
-
-
 def serve(stage: Stage, *workers: FakeWorker, **changes: Any) -> JobId:
     """Start a service and let the workers show that it runs."""
     name = stage.accept(**{**SERVICE, "bundle": "img-s", **changes})
@@ -72,10 +63,6 @@
     return name
 
 
-def end(worker: FakeWorker, cause: str) -> None:
-    worker.finish(cause)
-
-
 def replicas(stage: Stage, name: JobId) -> dict[int, str]:
     return dict(stage.leader.ctx.book.jobs[name].live)
 
@@ -90,7 +77,7 @@
     stage.later(RAN_WELL_S + 1)
     for worker in (one, other):
         if worker.pieces:
-            end(worker, cause)
+            worker.finish(cause)
             orders = stage.exchange(worker)
             assert "clear" in verbs(orders)  # nothing has to be written for it
     stage.write()
@@ -114,7 +101,7 @@
     [at] = replicas(stage, name).values()
     here, there = (one, other) if at == one.name else (other, one)
     stage.later(RAN_WELL_S + 1)
-    end(here, "done")
+    here.finish("done")
     stage.exchange(here)
     stage.exchange(there)
     stage.place()
@@ -147,7 +134,7 @@
         stage.place()
         for worker in workers:
             begun += len(starts(stage.exchange(worker)))
-            end(worker, "error")
+            worker.finish("error")
             stage.exchange(worker)
         stage.later(1.0)
     assert service.backoff_s == 60.0
@@ -182,7 +169,7 @@
         stage.exchange(worker)
     for bad in workers[:4]:
         for _ in range(2):
-            end(bad, "error")
+            bad.finish("error")
             stage.exchange(bad)
             stage.place()
             stage.exchange(bad)
@@ -195,7 +182,7 @@
 def test_a_machine_that_failed_a_replica_once_is_used_again_later(stage: Stage) -> None:
     worker = stage.ready_worker()
     name = serve(stage, worker, pieces=1)
-    end(worker, "error")
+    worker.finish("error")
     stage.exchange(worker)
     stage.place()
     assert not replicas(stage, name)
@@ -301,26 +288,17 @@
 # -- where replicas go --------------------------------------------------------------------------
 
 
-def plan(world: World, *jobs: Job, **ways: Any) -> placement.Plan:
-    quota = Quota(TEAMS, world.picture.team_vcpus, world.picture.team_cards)
-    rooms = [Room(m) for m in world.picture.machines.values() if m.usable()]
-    moving = ways.pop("moving", ())
-    return placement.Pass(rooms, quota, Steady(T0 + 100), random.Random(1), 64, **ways).run(
-        jobs, (), moving
-    )
-
-
 def test_lesser_work_is_stopped_where_the_image_is_rather_than_fetching_elsewhere() -> None:
     world = World()
     warm = world.machine("i-1")
     warm.note_image("img-1", 2.0)
     world.put(world.job("run-9", pieces=8, vcpus=4.0, bundle="img-9"), warm, 8)
     world.machine("i-2")  # ten seconds for the image
-    found = plan(world, world.job("run-1", **SERVICE, pieces=1))
+    found = world.plan(world.job("run-1", **SERVICE, pieces=1))
     assert not found.batches and len(found.stops) == 1
     quick = World()
     quick.machine("i-1").note_image("img-1", 2.0)
-    assert spread_of(plan(quick, quick.job("run-1", **SERVICE, pieces=1))) == {"i-1": 1}
+    assert spread_of(quick.plan(quick.job("run-1", **SERVICE, pieces=1))) == {"i-1": 1}
 
 
 def test_what_exits_at_once_is_stopped_for_a_replica_rather_than_what_saves_first() -> None:
@@ -331,7 +309,7 @@
     saves = world.job("run-8", pieces=4, bundle="img-9", savepoint_s=10.0, flush_s=5.0)
     world.put(saves, warm, 4)
     world.put(world.job("run-9", pieces=4, bundle="img-9"), warm, 4)
-    found = plan(world, world.job("run-1", **SERVICE, pieces=1))
+    found = world.plan(world.job("run-1", **SERVICE, pieces=1))
     assert [held.task.job for held in found.stops] == ["run-9"]
     only = World()
     slow = only.machine("i-1")
@@ -339,7 +317,7 @@
     only.put(only.job("run-8", pieces=8, savepoint_s=10.0, flush_s=9.0, bundle="img-9"), slow, 8)
     only.machine("i-2")  # ten seconds for the image: no later than the save
     small = only.job("run-1", **{**SERVICE, "image_gb": 1.0}, pieces=1)
-    assert list(spread_of(plan(only, small))) == ["i-2"]
+    assert list(spread_of(only.plan(small))) == ["i-2"]
 
 
 def test_replicas_are_not_all_on_one_machine() -> None:
@@ -349,7 +327,7 @@
         world.machine(name).note_image("img-1", 2.0)
     for n in range(3):
         world.put(world.job(f"run-{n}", **SERVICE, pieces=2), world.machine("i-1"), 2)
-    found = plan(world, world.job("run-9", **SERVICE, pieces=2))
+    found = world.plan(world.job("run-9", **SERVICE, pieces=2))
     assert "i-1" not in spread_of(found)
 
 
@@ -360,7 +338,7 @@
     world.put(world.job("run-9", pieces=8, vcpus=4.0, bundle="img-9"), warm, 8)
     world.machine("i-2")
     tiny = world.job("run-1", **{**SERVICE, "image_gb": 0.2 * (SOON_S - 0.5)}, pieces=1)
-    found = plan(world, tiny)
+    found = world.plan(tiny)
     assert spread_of(found) == {"i-2": 1} and not found.stops
 
 
@@ -369,12 +347,12 @@
     world = World()
     for n in range(6):
         world.machine(f"i-{n}")
-    assert spread_of(plan(world, world.job("run-1", **SERVICE, pieces=4))) == dict.fromkeys(
+    assert spread_of(world.plan(world.job("run-1", **SERVICE, pieces=4))) == dict.fromkeys(
         ("i-0", "i-1", "i-2", "i-3"), 1
     )
     few = World()
     few.machine("i-0")
-    assert spread_of(plan(few, few.job("run-1", **SERVICE, pieces=4)))["i-0"] == 4
+    assert spread_of(few.plan(few.job("run-1", **SERVICE, pieces=4)))["i-0"] == 4
 
 
 def test_the_worker_that_reports_soonest_gets_the_start() -> None:
@@ -382,8 +360,8 @@
     for name in ("i-1", "i-2", "i-3"):
         world.machine(name).note_image("img-1", 2.0)
     waits = {"i-1": 2.6, "i-2": 0.4, "i-3": 1.8}
-    found = plan(
-        world, world.job("run-1", **SERVICE, pieces=1), report_in=lambda m: waits[str(m.id)]
+    found = world.plan(
+        world.job("run-1", **SERVICE, pieces=1), report_in=lambda m: waits[str(m.id)]
     )
     assert spread_of(found) == {"i-2": 1}
 
@@ -394,9 +372,9 @@
     for name in ("i-1", "i-2"):
         world.machine(name).note_image("img-1", 2.0)
     large = run("run-7", vcpus=30.0, mem_gb=8.0)
-    found = plan(world, world.job("run-1", **SERVICE, pieces=4), kinds=(large,))
+    found = world.plan(world.job("run-1", **SERVICE, pieces=4), kinds=(large,))
     assert spread_of(found) == {"i-1": 2, "i-2": 2}
-    more = plan(world, world.job("run-2", **SERVICE, pieces=6), kinds=(large,))
+    more = world.plan(world.job("run-2", **SERVICE, pieces=6), kinds=(large,))
     assert sum(spread_of(more).values()) == 6  # where there is no other room, they go
 
 
@@ -406,7 +384,7 @@
     gangs, arrays = world.machine("i-1"), world.machine("i-2")
     world.put(world.job("run-8", shape="group", pieces=7), gangs, 7)
     world.put(world.job("run-9", pieces=6), arrays, 6)
-    found = plan(world, world.job("run-1", **{**SERVICE, "bundle": "img-s"}, pieces=1))
+    found = world.plan(world.job("run-1", **{**SERVICE, "bundle": "img-s"}, pieces=1))
     assert spread_of(found) == {"i-2": 1}
 
 
@@ -421,7 +399,7 @@
     world.put(world.job("run-9", **{**SERVICE, "bundle": "img-9"}, pieces=1), cold, 1)
     large = run("run-7", vcpus=large_vcpus, mem_gb=8.0)
     assert cold.warmth("img-1") != warm.warmth("img-1")
-    found = plan(world, world.job("run-1", **SERVICE, pieces=1), kinds=(large,))
+    found = world.plan(world.job("run-1", **SERVICE, pieces=1), kinds=(large,))
     assert list(spread_of(found)) == [expected]
 
 
@@ -433,7 +411,7 @@
     service = world.job("run-1", **SERVICE, pieces=pieces, spread=True)
     rng = random.Random(3)
     for _ in range(60):
-        for batch in plan(world, service).batches:
+        for batch in world.plan(service).batches:
             for machine, count in batch.parts:
                 for index in service.take(count):
                     task = TaskId(service.id, index)
@@ -451,16 +429,16 @@
     service = world.job("run-8", **{**SERVICE, "rank": "idle", "vcpus": 16.0}, pieces=1)
     world.put(service, machine, 1)
     world.put(world.job("run-9", rank="idle", vcpus=16.0, pieces=1), machine, 1)
-    found = plan(world, world.job("run-1", rank=rank, vcpus=16.0, pieces=1))
+    found = world.plan(world.job("run-1", rank=rank, vcpus=16.0, pieces=1))
     assert [held.task.job for held in found.stops] == ["run-9"]
     better = World()
     there = better.machine("i-1")
     lowest = better.job("run-8", **{**SERVICE, "rank": "idle", "vcpus": 16.0}, pieces=1)
     better.put(lowest, there, 1)
     better.put(better.job("run-9", rank="standard", vcpus=16.0, pieces=1), there, 1)
-    found = plan(better, better.job("run-1", rank="production", vcpus=16.0, pieces=1))
+    found = better.plan(better.job("run-1", rank="production", vcpus=16.0, pieces=1))
     assert [held.task.job for held in found.stops] == ["run-9"]  # though it is of a higher rank
-    both = plan(world, world.job("run-2", rank=rank, vcpus=32.0, pieces=1))
+    both = world.plan(world.job("run-2", rank=rank, vcpus=32.0, pieces=1))
     assert {held.task.job for held in both.stops} == {"run-8", "run-9"}
 
 
@@ -471,7 +449,7 @@
     world.put(service, machine, 1)
     guaranteed = world.job("run-1", owner="blue", rank="urgent", vcpus=32.0)
     guaranteed.guaranteed = True
-    assert not plan(world, guaranteed).stops
+    assert not world.plan(guaranteed).stops
 
 
 # -- moves --------------------------------------------------------------------------------------
@@ -517,7 +495,7 @@
             there.note_image("img-1", 2.0)
         if elsewhere == "full":
             world.put(world.job("run-9", pieces=8, bundle="img-9"), there, 8)
-    found = plan(world, moving=[held])
+    found = world.plan(moving=[held])
     assert (found.moves == [held]) is moved and len(found.stops) == stops
     assert not found.batches
 
@@ -530,9 +508,9 @@
     world.put(service, world.machine("i-2", site="b"), 1)
     here.warning_s = 10.0
     held = next(iter(here.holds.values()))
-    assert not plan(world, moving=[held]).moves  # only zone b has room, and it has its half
+    assert not world.plan(moving=[held]).moves  # only zone b has room, and it has its half
     world.machine("i-3", site="a")
-    assert plan(world, moving=[held]).moves == [held]
+    assert world.plan(moving=[held]).moves == [held]
 
 
 def test_a_machine_about_to_go_hands_its_replica_on(stage: Stage) -> None:
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
@@ -14,7 +16,7 @@
 from ryewing.fleet import Shelf, options_for, to_return, wishes
 from ryewing.jobs import Book, Job, JobRecord, impossible
 from ryewing.leadership import Authority, Holder, View, may_campaign
-from ryewing.picture import RUNNING, Machine, Picture
+from ryewing.picture import RUNNING, Hold, Machine, Picture
 from ryewing.policy import BadPolicy, load
 from ryewing.rooms import NO_CARDS, Quota, Room
 from ryewing.settings import BadSettings, Settings, Team
@@ -359,6 +361,8 @@
         sample: int = 64,
         unseen: tuple[float, float] = (0.0, 0.0),
         kept: float = 99.0,
+        moving: Sequence[Hold] = (),
+        **ways: Any,
     ) -> placement.Plan:
         per_card = NO_CARDS
         for one in self.book:
@@ -366,12 +370,16 @@
         quota = Quota(TEAMS, self.picture.team_vcpus, self.picture.team_cards, *unseen)
         rooms = [Room(m) for m in self.picture.machines.values() if m.usable()]
         return placement.Pass(
-            rooms, quota, Steady(T0 + now), random.Random(1), sample, per_card, kept
-        ).run(jobs)
+            rooms, quota, Steady(T0 + now), random.Random(1), sample, per_card, kept, **ways
+        ).run(jobs, (), moving)
 
 
-def spread_of(plan: placement.Plan) -> dict[str, int]:
-    return {machine.id: n for batch in plan.batches for machine, n in batch.parts}
+def spread_of(plan: placement.Plan) -> Counter[str]:
+    counts: Counter[str] = Counter()
+    for batch in plan.batches:
+        for machine, count in batch.parts:
+            counts[machine.id] += count
+    return counts
 
 
 def test_fullest_fitting_machine_first() -> None:
