Submissions must say together, spread and loaner: only what may be null may be omitted

The stored form leaves false out, and the same struct read submissions: jobs that lack a mandatory field were accepted.

--- a/src/ryewing/wire.py
+++ b/src/ryewing/wire.py
@@ -208,7 +208,20 @@
     """A body that no retry can make right."""
 
 
+class _Given(msgspec.Struct):
+    """The fields of a submission that a stored job may lack."""
+
+    together: bool | msgspec.UnsetType = msgspec.UNSET
+    spread: bool | msgspec.UnsetType = msgspec.UNSET
+    loaner: bool | msgspec.UnsetType = msgspec.UNSET
+
+
+STORED_WITHOUT = _Given.__struct_fields__
+"""False is left out of what is stored, but a user has to say it: only what may be null may be
+omitted. Jobs without these fields were accepted."""
+
 _run_decoder = msgspec.json.Decoder(Run)
+_given_decoder = msgspec.json.Decoder(_Given)
 _report_decoder = msgspec.json.Decoder(Report)
 
 
@@ -227,8 +240,12 @@
     """Decode and check a submission; raise Malformed with the field's name."""
     try:
         run = _run_decoder.decode(body)
+        given = _given_decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise Malformed(str(error)) from None
+    for name in STORED_WITHOUT:
+        if getattr(given, name) is msgspec.UNSET:
+            raise Malformed(f"{name}: missing")
     if run.shape not in SHAPES:
         raise Malformed(f"shape: must be one of {', '.join(SHAPES)}")
     if run.rank not in RANKS:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -102,6 +102,12 @@
     return Run(**fields)
 
 
+def submission(ref: str = "run-1", **changes: Any) -> dict[str, Any]:
+    """Give the body by which a user submits it, with what a stored job leaves out."""
+    left_out = {"together": False, "spread": False, "loaner": False}
+    return {**left_out, **msgspec.to_builtins(run(ref, **changes))}
+
+
 def job(ref: str = "run-1", at: float = 0.0, **changes: Any) -> Job:
     """Make a live job."""
     return Job(JobRecord(run(ref, **changes), at), Stamp(1))
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -7,7 +7,7 @@
 
 import msgspec
 import pytest
-from standins import CPU, GPU, FakeStore, policy, run, settings
+from standins import CPU, GPU, FakeStore, policy, run, settings, submission
 
 from ryewing.api import HEADER_BYTES, HEADERS_MAX, Api, Finals, RequestHeaders
 from ryewing.jobs import JobRecord, final_key, live_key
@@ -53,7 +53,7 @@
     def ask_leader(self, job: JobId) -> RunStatus | None:
         return self.remote.get(job)
 
-    def tell_cancel(self, _job: JobId, _written_at: float | None) -> bool:
+    def tell_cancel(self, _job: JobId) -> bool:
         return self.leader_knows
 
     def foreign_leader(self) -> str | None:
@@ -87,7 +87,7 @@
         return int(seen[0].split()[0]), msgspec.json.decode(answer)
 
     def submit(self, **changes: Any) -> tuple[int, Any]:
-        body = {**msgspec.to_builtins(run()), **changes}
+        body = {**submission(), **changes}
         return self("POST", "/v2/runs", msgspec.json.encode(body))
 
     def live(self, ref: str = "run-1", cancelled: bool = False) -> None:
@@ -158,8 +158,8 @@
 @pytest.mark.parametrize(
     ("call", "body"),
     [
-        (("POST", "/v2/runs"), msgspec.json.encode(run())),
-        (("POST", "/v2/runs"), msgspec.json.encode({**msgspec.to_builtins(run()), "pieces": 0})),
+        (("POST", "/v2/runs"), msgspec.json.encode(submission())),
+        (("POST", "/v2/runs"), msgspec.json.encode({**submission(), "pieces": 0})),
         (("GET", "/v2/runs/run-1"), b""),
         (("POST", "/v2/runs/run-1/cancel"), b""),
     ],
--- a/tests/test_pure.py
+++ b/tests/test_pure.py
@@ -9,13 +9,13 @@
 
 import msgspec
 import pytest
-from standins import CPU, GPU, RAW_SETTINGS, job, policy, run, settings
+from standins import CPU, GPU, RAW_SETTINGS, job, policy, run, settings, submission
 
 from ryewing import placement, preemption, queueing
 from ryewing.budget import Budget
 from ryewing.fleet import Shelf, options_for, to_return, wishes
 from ryewing.jobs import Book, Job, JobRecord, impossible
-from ryewing.leadership import Authority, Holder, View, may_campaign
+from ryewing.leadership import FOLLOW_S, Authority, Holder, View, may_campaign
 from ryewing.picture import RUNNING, Hold, Machine, Picture
 from ryewing.policy import BadPolicy, load
 from ryewing.rooms import NO_CARDS, Quota, Room
@@ -71,7 +71,7 @@
     assert attempt_of(Term(2), 1) > attempt_of(Term(1), 2**24 - 1)
 
 
-GOOD = msgspec.to_builtins(run())
+GOOD = submission()
 
 
 @pytest.mark.parametrize(
@@ -223,29 +223,42 @@
 
 
 @pytest.mark.parametrize(
-    ("after_s", "start", "answer"),
+    ("renewed_s", "followed_s", "start", "answer"),
     [
-        (0.0, True, True),
-        (2.9, True, True),
-        (3.0, False, True),  # the lease may have ended: no starts, no renting
-        (14.9, False, True),  # state outage: workers are kept alive
-        (15.0, False, False),  # the hold is over: 421 or 503
-        (500.0, False, False),  # a process that was paused past everything
+        (0.0, 0.0, True, True),
+        (2.9, 2.9, True, True),
+        (3.0, 3.0, False, True),  # the lease may have ended: no starts, no renting
+        (14.9, 14.9, False, True),  # state outage: workers are kept alive
+        (15.0, 15.0, False, False),  # the hold is over: 421 or 503
+        (500.0, 500.0, False, False),  # a process that was paused past everything
+        (0.0, FOLLOW_S - 0.1, True, True),  # a slow watch beside renewals
+        (0.0, FOLLOW_S, False, True),  # one that hangs: others may have cancelled
+        (0.0, 14.9, False, True),
+        (0.0, 15.0, False, False),  # and its cancelled tasks must be gone in time
+        (15.0, 0.0, False, False),
+        (0.0, None, False, False),  # the jobs were never read
+        (None, 0.0, False, False),
     ],
 )
-def test_authority_by_time_since_renewal(after_s: float, start: bool, answer: bool) -> None:
+def test_authority_by_time_since_renewal_and_since_the_jobs_are_known(
+    renewed_s: float | None, followed_s: float | None, start: bool, answer: bool
+) -> None:
     authority = Authority(3.0, 15.0)
-    assert not authority.may_start(T0) and not authority.may_answer(T0)
-    authority.confirm(T0)
-    now = Steady(T0 + after_s)
+    now = Steady(T0 + 1000.0)
+    if renewed_s is not None:
+        authority.confirm(Steady(now - renewed_s))
+    if followed_s is not None:
+        authority.follow(Steady(now - followed_s))
     assert (authority.may_start(now), authority.may_answer(now)) == (start, answer)
 
 
 def test_authority_counts_from_the_latest_send() -> None:
     authority = Authority(3.0, 15.0)
-    authority.confirm(Steady(T0 + 2.0))
-    authority.confirm(T0)  # an older renewal's answer that came later
+    for note in (authority.confirm, authority.follow):
+        note(Steady(T0 + 2.0))
+        note(T0)  # an older renewal's answer that came later
     assert authority.may_start(Steady(T0 + 4.5))
+    assert authority.may_answer(Steady(T0 + 16.5))
 
 
 def test_hold_leaves_a_cancel_its_time() -> None:
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -14,7 +14,7 @@
 
 import msgspec
 import pytest
-from standins import RAW_SETTINGS, run
+from standins import RAW_SETTINGS, submission
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 90.0
@@ -74,11 +74,11 @@
 
 def test_submit_run_and_cancel_through_any_controller(base: int) -> None:
     first, last = (f"http://127.0.0.1:{base + at}/v2/runs" for at in (10, 14))
-    body = msgspec.json.encode(run("run-000001", guess_s=0.5, pieces=5, loaner=True))
+    body = msgspec.json.encode(submission("run-000001", guess_s=0.5, pieces=5, loaner=True))
     until(first, "queued", body)
     until(f"{last}/run-000001", "done")
     assert ask(first, body) == (200, {"ref": "run-000001", "status": "done"})
-    long = msgspec.json.encode(run("run-000002", guess_s=500.0, shape="group", pieces=2))
+    long = msgspec.json.encode(submission("run-000002", guess_s=500.0, shape="group", pieces=2))
     until(last, "queued", long)
     until(f"{first}/run-000002", "running")
     until(f"{last}/run-000002/cancel", "cancelled", b"")
@@ -90,7 +90,7 @@
     assert ask(f"{first}/run-000099/cancel", b"")[0] == 404
     assert ask(first, b"[1]")[0] == 400
     assert ask(first, b"x" * 70_000)[0] in (413, 0)  # the connection is closed on the sender
-    assert ask(first, msgspec.json.encode(run("run-000003", owner="nobody")))[0] == 422
+    assert ask(first, msgspec.json.encode(submission("run-000003", owner="nobody")))[0] == 422
 
 
 def until_serving(url: str, count: int) -> None:
@@ -108,7 +108,7 @@
 def test_a_service_runs_through_ends_and_losses_until_it_is_cancelled(base: int) -> None:
     first, last = (f"http://127.0.0.1:{base + at}/v2/runs" for at in (10, 14))
     trouble = f"http://127.0.0.1:{base + 1}/trouble"
-    service = run(
+    service = submission(
         "run-000004", shape="daemon", rank="production", guess_s=0.0, vcpus=1.0, spread=True
     )
     until(first, "queued", msgspec.json.encode(service))
