A final write without an answer stays open until the store tells, whatever comes after it

Found by reading, shown by a row: the next try failed for another key, the job was told from memory again, and the first try, still on its way, was carried out after that.

--- a/src/ryewing/writer.py
+++ b/src/ryewing/writer.py
@@ -99,6 +99,8 @@
         self.to_forget: OrderedDict[str, None] = OrderedDict()
         self.final_pending: set[JobId] = set()
         """Jobs whose final state may or may not be written: only the store can tell."""
+        self._unanswered: set[JobId] = set()
+        """Those of them for which a write got no answer: it may be carried out after later ones."""
         self._on_final = on_final
         self._on_record = on_record
         self._ops_max = self._ops_allowed = limits.txn_ops
@@ -240,9 +242,12 @@
         try:
             result = self.ctx.store.txn(self.ctx.mandate.fenced(conditions), ops)
         except Rejected as error:
-            self.final_pending -= finals  # it was certainly not executed
+            self.final_pending -= finals - self._unanswered  # it was certainly not executed
             self._on_rejected(chosen, len(ops), now, error)
             return True
+        except StoreDown:
+            self._unanswered |= finals
+            raise
         if result.ok:
             for write in chosen:
                 write.done(result.epoch)
@@ -254,7 +259,9 @@
                 for key in write.conditions.keys() & result.failed:
                     if write.conflict is not None:
                         write.conflict(key)
-        self.final_pending -= finals
+        # Found where the next try failed for another key: the first one, still on its way, was
+        # carried out after that, and users were told `running` from memory beside `done`.
+        self.final_pending -= finals - self._unanswered
         return len(chosen) < len(wanted) or not result.ok
 
     def _on_rejected(self, chosen: list[_Write], ops: int, now: Steady, error: Rejected) -> None:
@@ -283,6 +290,10 @@
         """A final write met another version: a cancel won, or an earlier try was applied."""
         entry = self.ctx.store.get(live_key(job.id))
         if entry is not None:
+            if entry.stamp != job.stamp:
+                self._answered(
+                    job.id
+                )  # what named the version before can't be carried out any more
             self._on_record(entry.data, Stamp(entry.stamp))
             return
         final = self.ctx.store.get(final_key(job.id))
@@ -290,6 +301,16 @@
             status = msgspec.json.decode(final.data, type=dict[str, str])["status"]
             self._finalised(job, status)
 
+    def _answered(self, job_id: JobId) -> None:
+        """What was written of a job's final state is known."""
+        self._unanswered.discard(job_id)
+        self.final_pending.discard(job_id)
+
+    def settled(self, job: Job) -> None:
+        """The store has no live record of the job any more."""
+        self._answered(job.id)
+        self.ctx.book.drop(job)
+
     def _recorded(self, machines: list[tuple[Machine, bool]]) -> None:
         for machine, heard in machines:
             if heard or machine.heard_at is None:
@@ -307,8 +328,8 @@
         job.unwritten.clear()
         for chunk in job.chunks_written:
             self.finishes.drop(done_name(job.id, chunk))
-        self.ctx.book.drop(job)
         self._on_final(job.id, status)
+        self.settled(job)
         log.info("event=final job=%s status=%s tasks=%d", job.id, status, job.run.pieces)
 
 
