Old reports at a new leader neither bring back gone machines nor lose a running task

A machine that nobody recorded holds nothing: it is taken up once it shows our token. A task reported from two machines is gone once it is gone from both. Halts go before clears, so that a cut at the most commands in one answer leaves no cancelled task running.

--- a/src/ryewing/dispatch.py
+++ b/src/ryewing/dispatch.py
@@ -23,6 +23,7 @@
     Zone,
     steady_now,
     term_of,
+    token_of,
 )
 from .wire import Order, Report, ReportAnswer
 from .workers import Workers, WorkerSilent
@@ -85,6 +86,12 @@
             return None
         machine = self.ctx.picture.machines.get(name)
         if machine is None:
+            if term_of(report.mandate) != self.ctx.term:
+                # Nobody knows it, so it holds nothing (it is recorded before its first start): it
+                # is new, or what comes in its name is old. Only the worker itself can show our
+                # token, which comes with this answer. Found with copies of reports that reached a
+                # new leader: machines long gone were recorded, and kept jobs waiting for a lease.
+                return ReportAnswer(int(token_of(self.ctx.term)), [])
             machine = self.ctx.picture.add(
                 name, self.ctx.flavour(report.flavour), Zone(report.site), report.loaner, now
             )
@@ -184,8 +191,11 @@
         return orders
 
     def _standing_orders(self, machine: Machine, now: Steady) -> list[Order]:
-        """Give the commands that may be repeated and may come late: clears and halts."""
-        return [*self._clears(machine), *self.ctx.stops.orders(machine.id, now)][:ORDERS_MAX]
+        """Give the commands that may be repeated and may come late: halts and clears.
+
+        Halts first: what has ended can wait, a cancelled task can't.
+        """
+        return [*self.ctx.stops.orders(machine.id, now), *self._clears(machine)][:ORDERS_MAX]
 
     def _clears(self, machine: Machine) -> list[Order]:
         """Clear what has ended; a finish only after it is written."""
--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -133,6 +133,7 @@
         "_cursor",
         "_done",
         "_returned",
+        "also",
         "at",
         "backoff_s",
         "backoff_until",
@@ -168,6 +169,8 @@
         self.inherited = inherited
         """Accepted before this leader's term: its tasks may sit on machines not yet heard."""
         self.live: dict[int, MachineId] = {}
+        self.also: dict[int, set[MachineId]] = {}
+        """Further machines that a task was reported from: all but one of these reports are old."""
         self.zones: Counter[Zone] = Counter()
         self.running = 0
         self.done_count = 0
@@ -347,7 +350,9 @@
             self._factors[job.run.jobclass] = 0.95 * old + 0.05 * factor
 
     def touch(self, job: Job) -> None:
-        """Sort a job into the sets after a change."""
+        """Sort a job into the sets after a change; one that was dropped stays out."""
+        if self.jobs.get(job.id) is not job:
+            return
         if job.shortfall > 0:
             self.waiting.add(job.id)
         else:
--- a/src/ryewing/picture.py
+++ b/src/ryewing/picture.py
@@ -324,7 +324,11 @@
             self.team_cards[team] = self.team_cards.get(team, 0.0) + run.cards
             other = job.live.get(task.number)
             if other is not None and other != machine.id:
+                # An old report, held back until a new leader began, tells of where the task was.
+                # Which one is old shows later: until then it is on both, and gone once it is gone
+                # from both. Found by a table: the old one went, and the task was started again.
                 log.error("task=%s event=seen-twice machine=%s other=%s", task, machine.id, other)
+                job.also.setdefault(task.number, set()).add(other)
             job.live[task.number] = machine.id
             job.zones[machine.site] += 1
             if phase == RUNNING:
@@ -355,12 +359,23 @@
         job.zones[machine.site] -= 1
         if held.phase == RUNNING:
             job.running -= 1
-        if job.live.get(held.task.number) == machine.id:
-            del job.live[held.task.number]
-            if not finished:
-                job.hand_back(held.task.number)
+        self._off(job, held.task.number, machine.id, finished)
         self.book.touch(job)
 
+    def _off(self, job: Job, number: int, name: MachineId, finished: bool) -> None:
+        """Note that a task is not on a machine any more."""
+        others = job.also.get(number)
+        if others is not None:
+            if job.live.get(number) == name:
+                job.live[number] = others.pop()
+            others.discard(name)
+            if not others:
+                del job.also[number]
+        elif job.live.get(number) == name:
+            del job.live[number]
+            if not finished:
+                job.hand_back(number)
+
     def _set_phase(self, held: Hold, phase: str, now: Steady) -> None:
         if held.phase == phase:
             return
@@ -378,7 +393,8 @@
     def holds_of(self, job: Job) -> list[Hold]:
         """List a job's task attempts, on whatever machines they are."""
         found = []
-        for index, name in job.live.items():
+        also = [(index, name) for index, names in job.also.items() for name in names]
+        for index, name in (*job.live.items(), *also):
             machine = self.machines.get(name)
             held = machine.holds.get(TaskId(job.id, index)) if machine is not None else None
             if held is not None:
