A leader's authority needs the jobs as well as the lease; a cancel is told by one function

Cause: in an outage leases keep their full time, so a leader that was refused alone renewed its lease afterwards and told users of jobs as they had been before others cancelled them; and cancels were told from the store by polls and repeated submissions without the leader knowing, by the time of day, and to a leader that did not know the job yet. A take-over whose answer is lost is taken up at once.

--- a/src/ryewing/api.py
+++ b/src/ryewing/api.py
@@ -30,7 +30,7 @@
     live_key,
 )
 from .store import Put, Rejected, StoreDown, Throttled
-from .units import JobId, Stamp, Steady, WallTime, is_job_id, steady_now, wall_now
+from .units import JobId, Stamp, Steady, is_job_id, steady_now, wall_now
 from .wire import BODY_LIMIT, Malformed, RunStatus, read_object, read_report, read_run
 
 if TYPE_CHECKING:
@@ -215,7 +215,7 @@
         too large today: it was kept under the limits of that day.
         """
         state = self._from_store(job)
-        return refusal if state is None else Response(200, state)
+        return refusal if state is None else self._told(state)
 
     def _accept(self, job: JobId, record: JobRecord) -> Response:
         """Write the job if it is new. What a user is told is in the store first."""
@@ -249,17 +249,26 @@
                 record.run.image_gb,
                 record.run.guess_s,
             )
-            return Response(201, RunStatus(job, "queued"))
+            if self._node.finals.get(job) is None:
+                return Response(201, RunStatus(job, "queued"))
         state = self._from_store(job)
         if state is None:
             return self._busy("changed just now")
-        return Response(200, state)
+        return self._told(state)
 
     def _poll(self, job: JobId) -> Response:
         state = self._from_memory(job) or self._node.ask_leader(job) or self._from_store(job)
         if state is None:
             return Response(404, {"error": "no such job"})
-        return Response(200, state)
+        return self._told(state)
+
+    def _told(self, state: RunStatus) -> Response:
+        """Answer with a state that was asked for elsewhere.
+
+        A final state may have been told here meanwhile: what comes after it must not be older.
+        """
+        final = self._node.finals.get(JobId(state.ref))
+        return Response(200, state if final is None else RunStatus(state.ref, final))
 
     def _from_memory(self, job: JobId) -> RunStatus | None:
         final = self._node.finals.get(job)
@@ -274,7 +283,7 @@
             live = self._read(live_key(job))
             if live is not None:
                 record = msgspec.json.decode(live.data, type=JobRecord)
-                return RunStatus(job, CANCELLED if record.cancelled else "queued")
+                return self._cancelled(job) if record.cancelled else RunStatus(job, "queued")
             # In this order: a job moves from one key to the other, never back.
             final = self._read(final_key(job))
         except StoreDown:
@@ -285,6 +294,20 @@
         self._node.finals.put(job, status)
         return RunStatus(job, status)
 
+    def _cancelled(self, job: JobId) -> RunStatus:
+        """Tell that a job is cancelled, as the store has it, once nobody can say otherwise.
+
+        Whoever wrote the mark, and by whatever request it was found: the leader answers from
+        memory and starts tasks until it knows. Found where the one who wrote it got no answer, and
+        a poll or a repeated submission met the mark: users were told `cancelled`, and `running`
+        after that.
+        Leaves with 503 if the leader can't be known to know.
+        """
+        if not self._node.tell_cancel(job):
+            raise self._busy("the cancel is written but the leader has not heard it")
+        self._node.finals.put(job, CANCELLED)
+        return RunStatus(job, CANCELLED)
+
     def _read(self, key: str) -> Any:
         if self._reads >= STORE_READS_AT_ONCE:
             raise self._busy("too many requests at once")
@@ -307,7 +330,7 @@
                     if state is None:
                         return Response(404, {"error": "no such job"})
                     if state.status in (DONE, CANCELLED):
-                        return Response(200, state)
+                        return self._told(state)
                     continue
                 record = msgspec.json.decode(entry.data, type=JobRecord)
                 if not record.cancelled:
@@ -324,13 +347,9 @@
                     if not result.ok:
                         continue
                     log.info("event=cancel-accepted job=%s", job)
-                written_at = record.cancelled_at
-                if not self._node.tell_cancel(job, WallTime(written_at) if written_at else None):
-                    return self._busy("the cancel is written but the leader has not heard it")
+                return Response(200, self._cancelled(job))
             except StoreDown:
                 return self._busy("the state service can't be reached")
-            self._node.finals.put(job, CANCELLED)
-            return Response(200, RunStatus(job, CANCELLED))
         return self._busy("changed just now")
 
 
--- a/src/ryewing/intake.py
+++ b/src/ryewing/intake.py
@@ -11,7 +11,7 @@
 from .jobs import LIVE_PREFIX, Job, JobRecord
 from .store import Compacted, StoreDown
 from .term import TermContext
-from .units import Epoch, JobId, Stamp, steady_now
+from .units import Epoch, JobId, Stamp, Steady, steady_now
 from .wire import RunStatus
 from .writer import Writer
 
@@ -20,7 +20,8 @@
 JOB_BYTES = 4096
 """What a live job takes, tasks on machines aside: 1.8 KiB as measured, with room to spare."""
 JOBS_MEMORY_SHARE = 0.25
-WATCH_S = 8.0
+WATCH_S = 1.0
+"""How long a watch waits: the leader's authority counts from the send of the last answered one."""
 
 
 class Intake:
@@ -31,6 +32,8 @@
         self.writer = writer
         self.dispatch = dispatch
         self.epoch = Epoch(0)
+        self._cancelled_early: dict[JobId, Steady] = {}
+        """Cancels told here before the job was known, and when."""
 
     def poll(self, job_id: JobId) -> RunStatus | None:
         """Tell a job's state, or None if only the store can tell.
@@ -48,12 +51,17 @@
         return job.status() if job is not None else None
 
     def take_cancel(self, job_id: JobId) -> bool:
-        """A cancel is in the store; True once no older state can be told from here."""
-        if not self.ctx.loaded.is_set():
-            return True  # the reading that is under way is the only source, and nothing is told
+        """A cancel is in the store; True once no older state can be told from here.
+
+        The job may not be known yet, because this term still reads the store or because the watch
+        lags: what is on its way may be older than the cancel. Found where a job was cancelled in
+        the second in which its leader changed.
+        """
         job = self.ctx.book.get(job_id)
         if job is not None:
             self._cancel(job)
+            return True
+        self._cancelled_early[job_id] = steady_now()
         return True
 
     def _cancel(self, job: Job) -> None:
@@ -70,21 +78,31 @@
         """Follow the jobs in the store: new ones, cancels, final states."""
         while True:
             try:
-                changes = self.ctx.store.watch(LIVE_PREFIX, self.epoch, WATCH_S)
+                self.watch_once()
             except Compacted:
                 self._reread()
-                continue
             except StoreDown:
                 gevent.sleep(0.3)
-                continue
-            for change in changes.log:
-                if change.set is not None:
-                    self.job_set(change.data, Stamp(change.stamp))
-                elif change.remove is not None:
-                    self._job_removed(JobId(change.remove[len(LIVE_PREFIX) :]))
-            self.epoch = Epoch(max(self.epoch, changes.epoch))
-            if changes.log:
-                self.ctx.place.set()
+
+    def watch_once(self) -> None:
+        """Wait for changes of the jobs, and take them in."""
+        asked_at = steady_now()
+        changes = self.ctx.store.watch(LIVE_PREFIX, self.epoch, WATCH_S)
+        for change in changes.log:
+            if change.set is not None:
+                self.job_set(change.data, Stamp(change.stamp))
+            elif change.remove is not None:
+                self._job_removed(JobId(change.remove[len(LIVE_PREFIX) :]))
+        self.epoch = Epoch(max(self.epoch, changes.epoch))
+        self._followed(asked_at)
+        if changes.log:
+            self.ctx.place.set()
+
+    def _followed(self, asked_at: Steady) -> None:
+        """All that was in the store at this time is known."""
+        self.ctx.authority.follow(asked_at)
+        for job_id in [job for job, told_at in self._cancelled_early.items() if told_at < asked_at]:
+            del self._cancelled_early[job_id]
 
     def job_set(self, data: msgspec.Raw, stamp: Stamp) -> None:
         """Take in a job's record, if it is newer than what is known."""
@@ -92,18 +110,26 @@
         known = self.ctx.book.get(JobId(record.run.ref))
         if known is not None and stamp <= known.stamp:
             return
-        job = self.ctx.book.put(record, stamp)
-        if record.cancelled:
+        self.put(record, stamp)
+
+    def put(self, record: JobRecord, stamp: Stamp, inherited: bool = False) -> None:
+        """Take in a job, with a cancel that was told here before it was known."""
+        job = self.ctx.book.put(record, stamp, inherited)
+        if job.id in self._cancelled_early:
+            del self._cancelled_early[job.id]
+            self._cancel(job)
+        elif record.cancelled:
             self._cancel(job)
 
     def _job_removed(self, job_id: JobId) -> None:
+        self._cancelled_early.pop(job_id, None)
         job = self.ctx.book.get(job_id)
         if job is not None and not job.live:
-            self.writer.final_pending.discard(job_id)
-            self.ctx.book.drop(job)
+            self.writer.settled(job)
 
     def _reread(self) -> None:
         while True:
+            asked_at = steady_now()
             try:
                 entries, epoch = self.ctx.store.listing(LIVE_PREFIX)
                 break
@@ -117,6 +143,7 @@
             if job_id not in there and self.ctx.book.jobs[job_id].stamp <= epoch:
                 self._job_removed(job_id)
         self.epoch = epoch
+        self._followed(asked_at)
 
     def full(self) -> bool:
         """Tell whether more jobs would endanger the memory of this process."""
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -123,24 +123,27 @@
     def _renew_loop(self) -> None:
         lease_s = self.ctx.policy.store_lease_s
         gap = lease_s / 4
-        while True:
+        while not self.ctx.stopped:
             gevent.sleep(gap)
-            sent_at = steady_now()
-            try:
-                self.ctx.store.renew(self.ctx.mandate.tenancy, lease_s / 3)
-            except LeaseLost:
-                self.ctx.lose("lease")
-                return
-            except StoreDown as error:
-                log.debug("event=renew-failed error=%s", error)
-                gap = lease_s / 8
-                continue
-            gap = lease_s / 4
-            if not self.ctx.authority.may_start(sent_at):
-                log.info("event=lease-confirmed-again term=%d", self.ctx.term)
-                self.ctx.place.set()
-                self.ctx.write.set()
-            self.ctx.authority.confirm(sent_at)
+            gap = lease_s / (4 if self.renew_once() else 8)
+
+    def renew_once(self) -> bool:
+        """Ask the store to renew the lease; False if it did not answer."""
+        sent_at = steady_now()
+        try:
+            self.ctx.store.renew(self.ctx.mandate.tenancy, self.ctx.policy.store_lease_s / 3)
+        except LeaseLost:
+            self.ctx.lose("lease")
+            return True
+        except StoreDown as error:
+            log.debug("event=renew-failed error=%s", error)
+            return False
+        if self.ctx.authority.lapsed(sent_at):
+            log.info("event=lease-confirmed-again term=%d", self.ctx.term)
+            self.ctx.place.set()
+            self.ctx.write.set()
+        self.ctx.authority.confirm(sent_at)
+        return True
 
     def _begin(self) -> None:
         while True:
@@ -176,7 +179,8 @@
         jobs, self.intake.epoch = self.ctx.store.listing(LIVE_PREFIX)
         for entry in jobs:
             record = msgspec.json.decode(entry.data, type=JobRecord)
-            self.ctx.book.put(record, Stamp(entry.stamp), inherited=True)
+            self.intake.put(record, Stamp(entry.stamp), inherited=True)
+        self.ctx.authority.follow(now)
         finished, _ = self.ctx.store.listing(DONE_PREFIX)
         finishes = self.writer.finishes
         records, twice = finishes.load(finished)
@@ -218,31 +222,34 @@
 
     def _tend_loop(self) -> None:
         """Leases that end, and stops that must be sent again."""
-        while True:
+        while not self.ctx.stopped:
             gevent.sleep(0.25)
-            now = steady_now()
-            self._log_state(now)
-            for machine in self.ctx.picture.expire(now):
-                log.info("event=lease-over machine=%s", machine.id)
-                self.ctx.place.set()
-            if not self.ctx.authority.may_answer(now):
-                continue
-            for name in list(self.ctx.stops.due(now)):
-                stopping = self.ctx.picture.machines.get(name)
-                if stopping is None:
-                    self.ctx.stops.machine_gone(name)
-                else:
-                    self.dispatch.send_soon(stopping)
-            self.dispatch.probe(now)
-            if self.ctx.settings.members and self.placer.gathered and self.cut_from_workers(now):
-                # Another node may reach them; waiting for it costs every machine its tasks.
-                # Authority ends before the lease does: its end may be made known late.
-                self.ctx.lose(CUT)
-                try:
-                    self.ctx.store.resign(self.ctx.mandate.tenancy)
-                except StoreDown as error:
-                    log.debug("event=resign-failed error=%s", error)
-                return
+            self.tend_once()
+
+    def tend_once(self) -> None:
+        """See to leases that have ended, stops that are due, and silent machines."""
+        now = steady_now()
+        self._log_state(now)
+        for machine in self.ctx.picture.expire(now):
+            log.info("event=lease-over machine=%s", machine.id)
+            self.ctx.place.set()
+        if not self.ctx.authority.may_answer(now):
+            return
+        for name in list(self.ctx.stops.due(now)):
+            stopping = self.ctx.picture.machines.get(name)
+            if stopping is None:
+                self.ctx.stops.machine_gone(name)
+            else:
+                self.dispatch.send_soon(stopping)
+        self.dispatch.probe(now)
+        if self.ctx.settings.members and self.placer.gathered and self.cut_from_workers(now):
+            # Another node may reach them; waiting for it costs every machine its tasks.
+            # Authority ends before the lease does: its end may be made known late.
+            self.ctx.lose(CUT)
+            try:
+                self.ctx.store.resign(self.ctx.mandate.tenancy)
+            except StoreDown as error:
+                log.debug("event=resign-failed error=%s", error)
 
     def cut_from_workers(self, now: Steady) -> bool:
         """Tell whether most machines fell silent at once, so that the fault is likely here."""
--- a/src/ryewing/leadership.py
+++ b/src/ryewing/leadership.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .store import LeaseLost, Put, Store, TxnResult
+from .store import LeaseLost, Put, Store, StoreDown, Throttled, TxnResult
 from .units import DRIFT, Epoch, NodeName, Stamp, Steady, Term, steady_now
 
 HOLDER_KEY = "lead/holder"
@@ -20,36 +20,61 @@
 PREFIX = "lead/"
 
 
+FOLLOW_S = 6.0
+"""How old the leader's knowledge of the jobs may be while it starts tasks and answers users. Its
+watch waits a second at a time, so this is several answers of a slow store."""
+
+
 class Authority:
     """What the leader may do now, by its steady clock.
 
-    Both steps count from the moment the last *confirmed* renewal was sent: the store's lease
-    can't have begun before that. Pure: the time is passed in.
+    It rests on two confirmations by the store, each counted from the moment at which what was
+    *confirmed* had been sent: the lease can't have begun before that, and of the jobs all that was
+    written before that is known. The lease alone proves nothing: found where a leader was refused
+    alone and the store was out after that. In an outage leases keep their full time, so the leader
+    renewed its own, and told users of jobs as they had been before others cancelled them. Watches
+    are silent meanwhile, and one may hang while renewals pass. Pure: the time is passed in.
     """
 
-    __slots__ = ("_hold_s", "_lease_s", "renewed_at")
+    __slots__ = ("_hold_s", "_lease_s", "followed_at", "renewed_at")
 
     def __init__(self, lease_s: float, hold_s: float) -> None:
         self._lease_s = lease_s * (1 - DRIFT) - 0.05
         self._hold_s = hold_s * (1 - DRIFT)
         self.renewed_at: Steady | None = None
+        self.followed_at: Steady | None = None
 
     def confirm(self, sent_at: Steady) -> None:
         """Take note of a renewal that the store has confirmed."""
         if self.renewed_at is None or sent_at > self.renewed_at:
             self.renewed_at = sent_at
 
+    def follow(self, asked_at: Steady) -> None:
+        """Take note that all changes of the jobs made before this are known."""
+        if self.followed_at is None or asked_at > self.followed_at:
+            self.followed_at = asked_at
+
+    def lapsed(self, now: Steady) -> bool:
+        """Tell whether the lease may have ended."""
+        return self.renewed_at is None or now >= self.renewed_at + self._lease_s
+
     def may_start(self, now: Steady) -> bool:
-        """Starting tasks, renting and answering users need an unexpired lease."""
-        return self.renewed_at is not None and now < self.renewed_at + self._lease_s
+        """Starting tasks, renting and answering users need an unexpired lease and the jobs."""
+        return (
+            not self.lapsed(now)
+            and self.followed_at is not None
+            and now < self.followed_at + FOLLOW_S
+        )
 
     def may_answer(self, now: Steady) -> bool:
         """Workers may be kept alive for the hold, so that a state outage costs no work.
 
-        Bounded, since a node that alone lost the store hears of no cancels:
+        Bounded, since a node that alone lost the store, or hears no changes, hears of no cancels:
         hold + lease_s < cancel_s.
         """
-        return self.renewed_at is not None and now < self.renewed_at + self._hold_s
+        if self.renewed_at is None or self.followed_at is None:
+            return False
+        return now < min(self.renewed_at, self.followed_at) + self._hold_s
 
 
 class Holder(msgspec.Struct):
@@ -126,6 +151,13 @@
     sent_at = steady_now()
     tenancy = store.grant(lease_s)
     term = Term(view.term + 1)
+
+    def won(term_stamp: Stamp) -> Mandate:
+        authority = Authority(lease_s, hold_s)
+        authority.confirm(sent_at)
+        return Mandate(term, term_stamp, tenancy, authority)
+
+    unanswered: StoreDown | None = None
     try:
         result = store.txn(
             {HOLDER_KEY: view.holder_stamp, TERM_KEY: view.term_stamp},
@@ -134,13 +166,28 @@
                 Put(TERM_KEY, {"term": term}),
             ],
         )
+        if result.ok:
+            return won(Stamp(result.epoch))
     except LeaseLost:
         return None
-    if not result.ok:
-        return None
-    authority = Authority(lease_s, hold_s)
-    authority.confirm(sent_at)
-    return Mandate(term, Stamp(result.epoch), tenancy, authority)
+    except Throttled:
+        raise
+    except StoreDown as error:
+        unanswered = error
+    # It may have been carried out, its answer lost, and sent once more by way of a peer. Who holds
+    # the lease without knowing leaves everybody without a leader until it has ended.
+    found = read_view(store)
+    if _holds(found, boot, term):
+        return won(found.term_stamp)
+    if unanswered is not None:
+        raise unanswered
+    return None
+
+
+def _holds(view: View, boot: str, term: Term) -> bool:
+    """Tell whether it is this process's bid for this term that was carried out."""
+    holder = view.holder
+    return holder is not None and (holder.boot, holder.term) == (boot, term)
 
 
 def new_boot() -> str:
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections import OrderedDict
 
 import gevent
 import msgspec
@@ -43,14 +44,17 @@
 from .settings import Settings, parse_address
 from .store import Compacted, Store, StoreDown
 from .transport import Reply
-from .units import Epoch, JobId, NodeName, Steady, Term, WallTime, steady_now, wall_now
-from .wire import Flavour, RunStatus
+from .units import Epoch, JobId, NodeName, Steady, Term, steady_now
+from .wire import Entry, Flavour, RunStatus
 
 log = logging.getLogger("ryewing.node")
 WATCH_S = 8.0
 MESH_S = 0.6
 CANCEL_KNOWN_S = 10.0
-"""The longest that a working watch takes to bring a change: its wait and its deadline."""
+"""With the lease, above the longest for which a leader that has not seen a change may start tasks
+or answer users (`leadership.FOLLOW_S`); 0.1.0 and 0.2.0 went by their watch, of 8 s and its
+deadline."""
+CANCELS_SEEN_MAX = 10_000
 API_SHARE, MESH_SHARE = 0.75, 0.05
 """Parts of the sockets for users, workers and health checks, and for other controllers. Every
 worker keeps a connection to the leader; what remains is for the store, the cloud and what is sent
@@ -85,6 +89,8 @@
         self._load_asked_at = Steady(-1e9)
         self._hint: ImageHint | None = None
         self._hinted_at = Steady(-1e9)
+        self._cancels_seen: OrderedDict[JobId, Steady] = OrderedDict()
+        """Cancels found in the store that the leader may not know, and since when."""
         self._peers = {m.node: Peer(parse_address(m.address)) for m in settings.members}
         self._relay_budget = Budget(0.2 * limits.rps, 0.2 * limits.rps)
         sockets = settings.params.resources.fd_limit
@@ -127,36 +133,7 @@
                 view = read_view(self.store)
                 continue
             if may_campaign(view, self.name, self.boot):
-                mandate = campaign(
-                    self.store,
-                    view,
-                    self.name,
-                    self.boot,
-                    self.policy.store_lease_s,
-                    self.policy.hold_s,
-                )
-                if mandate is not None:
-                    leader = Leader(
-                        self.settings,
-                        self.policy,
-                        self.store,
-                        mandate,
-                        self.finals.put,
-                        self._step_down,
-                        self._set_flavours,
-                        self._hint,
-                    )
-                    log.info(
-                        "event=leading node=%s term=%d version=%s",
-                        self.name,
-                        mandate.term,
-                        __version__,
-                    )
-                    self.leader = leader
-                    self._leader_name = self.name
-                    self._leader_term = mandate.term
-                    leader.start()
-                    self._announce(mandate.term)
+                if self._campaign(view):
                     continue
                 view = read_view(self.store)
                 continue
@@ -169,6 +146,36 @@
             else:
                 view.epoch = Epoch(max(view.epoch, changes.epoch))
 
+    def _campaign(self, view: View) -> bool:
+        """Try to take over; True if this node leads now."""
+        mandate = campaign(
+            self.store,
+            view,
+            self.name,
+            self.boot,
+            self.policy.store_lease_s,
+            self.policy.hold_s,
+        )
+        if mandate is None:
+            return False
+        leader = Leader(
+            self.settings,
+            self.policy,
+            self.store,
+            mandate,
+            self.finals.put,
+            self._step_down,
+            self._set_flavours,
+            self._hint,
+        )
+        log.info("event=leading node=%s term=%d version=%s", self.name, mandate.term, __version__)
+        self.leader = leader
+        self._leader_name = self.name
+        self._leader_term = mandate.term
+        leader.start()
+        self._announce(mandate.term)
+        return True
+
     def _note(self, view: View) -> None:
         holder = view.holder
         if holder is None:
@@ -266,30 +273,36 @@
             self.finals.put(job, answer.status)
         return RunStatus(job, answer.status, answer.done, answer.running)
 
-    def tell_cancel(self, job: JobId, written_at: WallTime | None) -> bool:
-        """Make the leader know of a cancel that is written; False if it may not know.
+    def tell_cancel(self, job: JobId) -> bool:
+        """Make the leader know of a cancel that is in the store; False if it may not know.
 
-        Only the holder of the lease answers users from memory, and whoever comes after it reads
-        the jobs after its take-over. So it is enough to tell the one who holds it now.
+        Only the holder of the lease answers users from memory and starts tasks, and whoever comes
+        after it reads the jobs after its take-over. So it is enough to tell the one who holds it.
         """
+        seen_at = self._cancels_seen.setdefault(job, steady_now())
+        if len(self._cancels_seen) > CANCELS_SEEN_MAX:
+            self._cancels_seen.popitem(last=False)
         entry = self.store.get(HOLDER_KEY)
-        if entry is None:
-            return True
+        if entry is None or self._holder_knows(entry, job):
+            known = True
+        else:
+            # The holder is dead, or cut from here. One that can reach the store sees the cancel in
+            # its watch; one that can't loses its authority. So once that time is over since the
+            # mark was seen here, no ask is needed. Counted by our own steady clock: by the time at
+            # which the cancel was meant to be written, one carried out late was told before the
+            # leader could know.
+            known = steady_now() - seen_at > self.policy.store_lease_s + CANCEL_KNOWN_S
+        if known:
+            self._cancels_seen.pop(job, None)
+        return known
+
+    def _holder_knows(self, entry: Entry, job: JobId) -> bool:
         holder = msgspec.json.decode(entry.data, type=Holder)
         if holder.node == self.name:
             return self.leader is None or self.leader.take_cancel(job)
         peer = self._peers.get(holder.node)
         answer = self._ask(peer, CancelNotice(job)) if peer is not None else None
-        if isinstance(answer, Ack) and answer.ok:
-            return True
-        # The holder is dead, or cut from here. A leader that can reach the store sees the
-        # cancel in its watch; one that can't loses its authority to answer within its lease.
-        # So once that time is over since the cancel was written, no ask is needed.
-        if written_at is None:
-            return False
-        bound = self.policy.store_lease_s + CANCEL_KNOWN_S
-        bound += 2 * self.settings.params.clock_off_ms / 1000
-        return wall_now() - written_at > bound
+        return isinstance(answer, Ack) and answer.ok
 
     def _ask(self, peer: Peer, ask: Ask) -> Answer | None:
         try:
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,608 @@
+"""Meetings of troubles: courses of events over controllers, store, workers and users.
+
+Each row is one meeting, and asserts the rules of the protocol by what users were told and workers
+ran. `docs/design.md`, "Meetings", says which row stands for which.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable, Iterator
+
+import msgspec
+import pytest
+from cluster import NAMES, Cluster, TimedWorker
+from standins import Clock
+
+from ryewing.store import Put
+from ryewing.units import Epoch
+
+Course = Callable[[Cluster], None]
+
+
+@pytest.fixture
+def cluster(monkeypatch: pytest.MonkeyPatch) -> Iterator[Cluster]:
+    clock = Clock()
+    for part in (
+        "api",
+        "budget",
+        "dispatch",
+        "intake",
+        "leader",
+        "leadership",
+        "node",
+        "placer",
+        "renter",
+        "term",
+        "writer",
+    ):
+        monkeypatch.setattr(f"ryewing.{part}.steady_now", clock)
+    for part in ("api", "placer"):
+        monkeypatch.setattr(f"ryewing.{part}.wall_now", clock)
+    monkeypatch.setattr("ryewing.leader.Leader.start", lambda leader: None)
+    yield Cluster(clock)
+
+
+def serving(cluster: Cluster, machines: int = 1) -> TimedWorker:
+    """Bring up a leader and machines that may be given work."""
+    for number in range(1, machines + 1):
+        cluster.worker(f"i-{number:06d}")
+    cluster.run(4.0)
+    assert cluster.leader_name == NAMES[0]
+    return cluster.workers["i-000001"]
+
+
+def running(cluster: Cluster, ref: str = "run-1") -> TimedWorker:
+    """Bring up a leader, and a job that runs on a machine."""
+    worker = serving(cluster)
+    cluster.submit(NAMES[0], ref)
+    cluster.run(8.0)
+    assert [piece for piece, _ in worker.pieces] == [f"{ref}/0"]
+    return worker
+
+
+def test_without_troubles(cluster: Cluster) -> None:
+    """The course of a job, at every controller."""
+    worker = running(cluster)
+    cluster.ask_all()
+    cluster.end(worker)
+    cluster.run(3.0)
+    cluster.ask_all()
+    assert cluster.referee.final == {"run-1": "done"}
+    cluster.submit("n-1", "run-2")
+    cluster.run(4.0)
+    assert worker.pieces
+    assert cluster.cancel("n-2", "run-2") == 200
+    cluster.ask_all("run-2")
+    assert cluster.verdict() == []
+    assert not worker.pieces
+
+
+# -- a cancellation, and who knows of it ----------------------------------------------------------
+
+
+def cancelled_while_the_next_leader_reads(cluster: Cluster) -> None:
+    """A new leader has read the jobs but not yet the rest when the cancel is told to it."""
+    running(cluster)
+    cluster.submit("n-0", "run-2", vcpus=30.0)
+    cluster.run(1.0)
+    cluster.dead.add("n-0")
+
+    def cancels(key: str) -> None:
+        if key == "j/":
+            cluster.cancel("n-2", "run-1")
+            cluster.cancel("n-2", "run-2")
+
+    cluster.links["n-1"].before_answer = cancels
+
+    def asked() -> None:
+        cluster.ask_all("run-1")
+        cluster.ask_all("run-2")
+
+    cluster.after_load = asked
+    cluster.links["n-2"].refused = True  # so that the other one takes over
+    cluster.run(3.0)
+    cluster.links["n-2"].refused = False
+    while cluster.nodes["n-1"].leader is None:
+        cluster.run(0.25)
+    cluster.links["n-1"].before_answer = None
+    cluster.ask_all("run-1")
+    cluster.ask_all("run-2")
+
+
+def cancelled_before_the_leader_knows_the_job(cluster: Cluster) -> None:
+    """The leader's watch lags: it hears of the cancel before it hears of the job."""
+    serving(cluster)
+    link = cluster.links["n-0"]
+    link.stale_watch = Epoch(cluster.store.epoch)
+    cluster.submit("n-1")
+    accepted = Epoch(cluster.store.epoch)
+    cluster.cancel("n-2")
+    link.stale_watch = accepted  # an answer that was made between the two
+    cluster.run(1.0)
+    cluster.ask_all()
+    cluster.run(5.0)
+
+
+def _written_but_not_told(cluster: Cluster) -> None:
+    """A cancel is in the store; the one who wrote it does not know, nor does the leader."""
+    running(cluster)
+    cluster.links["n-0"].mute_watch = True
+    cluster.links["n-1"].answer_lost = True
+    assert cluster.cancel("n-1") == 503
+    cluster.links["n-1"].answer_lost = False
+
+
+def cancelled_as_a_poll_finds_it(cluster: Cluster) -> None:
+    """Who can't ask the leader reads the store, where the cancel is."""
+    _written_but_not_told(cluster)
+    cluster.cut.add(frozenset(("n-0", "n-2")))
+    cluster.poll("n-2")
+    cluster.poll("n-0")
+
+
+def cancelled_as_a_repeated_submission_finds_it(cluster: Cluster) -> None:
+    """A repeat of the submission never asks the leader."""
+    _written_but_not_told(cluster)
+    cluster.cut.add(frozenset(("n-0", "n-2")))
+    cluster.submit("n-2")
+    cluster.submit("n-1")
+    cluster.poll("n-0")
+    cluster.submit("n-0")
+
+
+def cancelled_while_the_leader_renews_but_hears_no_changes(cluster: Cluster) -> None:
+    """Its lease is in order, its watch hangs, and the others can't reach it."""
+    running(cluster)
+    cluster.cut |= {frozenset(("n-0", "n-1")), frozenset(("n-0", "n-2"))}
+    cluster.links["n-0"].mute_watch = True
+    for _ in range(80):
+        cluster.cancel("n-1")
+        cluster.poll("n-0")
+        cluster.run(0.5)
+    assert cluster.referee.final == {"run-1": "cancelled"}, "never answered"
+
+
+def cancelled_by_a_clock_that_is_ahead(cluster: Cluster) -> None:
+    """The cancel's time of writing is long past: its transaction was carried out late."""
+    running(cluster)
+    cluster.cut |= {frozenset(("n-0", "n-1")), frozenset(("n-0", "n-2"))}
+    link = cluster.links["n-1"]
+    link.late = True
+    cluster.cancel("n-1")
+    cluster.run(30.0)
+    cluster.links["n-0"].mute_watch = True
+    link.catch_up()
+    cluster.cancel("n-1")
+    cluster.poll("n-0")
+
+
+def cancelled_on_its_way_while_a_poll_waits(cluster: Cluster) -> None:
+    """The leader's answer to a poll is overtaken by a cancel told at the node that asked."""
+    running(cluster)
+
+    def cancelled() -> None:
+        assert cluster.cancel("n-1") == 200
+
+    cluster.before_peer_answer["n-0"] = cancelled
+    cluster.poll("n-1")
+
+
+def cancelled_in_the_moment_of_the_take_over(cluster: Cluster) -> None:
+    """One controller's work changes hands twice while users cancel."""
+    running(cluster)
+    for number in range(2, 8):
+        cluster.submit("n-1", f"run-{number}", vcpus=2.0)
+    cluster.run(4.0)
+    for number, name in ((2, "n-0"), (3, "n-1"), (4, "n-2")):
+        cluster.cancel(name, f"run-{number}")
+        cluster.dead.add(name)
+        for _ in range(20):
+            other = next(n for n in NAMES if n not in cluster.dead)
+            cluster.cancel(other, f"run-{number + 3}")
+            for ref in range(1, 8):
+                cluster.poll(other, f"run-{ref}")
+            cluster.run(0.25)
+        cluster.boot(name)
+
+
+def cancelled_as_the_last_task_ends(cluster: Cluster) -> None:
+    """The end is written or about to be while users cancel, ask and repeat the submission."""
+    worker = running(cluster)
+    cluster.end(worker)
+    worker.report_now()
+    cluster.cancel("n-2")
+    cluster.ask_all()
+    cluster.run(1.0)
+    cluster.ask_all()
+
+
+def ended_by_a_write_that_comes_late(cluster: Cluster) -> None:
+    """The end's transaction gets no answer, another try meets a conflict, the first one comes."""
+    worker = running(cluster)
+    leader = cluster.nodes["n-0"].leader
+    assert leader is not None
+    cluster.links["n-0"].late = True
+    cluster.end(worker)
+    cluster.run(1.0)
+    late, cluster.links["n-0"]._held = cluster.links["n-0"]._held[:1], []
+    cluster.links["n-0"].late = False
+    # A record that another transaction has changed meanwhile makes the next try fail as a whole.
+    key = next(key for key in cluster.store.data if key.startswith("m/"))
+    cluster.store.txn({}, [Put(key, msgspec.json.decode(cluster.store.data[key][0]))])
+    cluster.worker("i-000002")
+    cluster.workers["i-000002"].report_now()
+    cluster.workers["i-000002"].report_now()
+    leader.writer.write_once()
+    for conditions, writes in late:
+        cluster.store.txn(conditions, writes)
+    cluster.cut.add(frozenset(("n-0", "n-2")))
+    cluster.ask_all()
+    cluster.poll("n-2")
+    cluster.poll("n-0")
+
+
+def accepted_without_an_answer(cluster: Cluster) -> None:
+    """A submission is carried out and only its answer is lost, or it comes late."""
+    serving(cluster)
+    for ref, lost in (("run-1", True), ("run-2", False)):
+        link = cluster.links["n-1"]
+        link.answer_lost, link.late = lost, not lost
+        assert cluster.submit("n-1", ref) == 503
+        link.answer_lost = link.late = False
+        cluster.submit("n-2", ref)
+        cluster.ask_all(ref)
+        link.catch_up()
+        cluster.cancel("n-2", ref)
+        cluster.ask_all(ref)
+
+
+# -- the leader, refused alone, and an outage -----------------------------------------------------
+
+
+def refused_alone(
+    before_s: float, outage_s: float, apart: bool, who: str = "n-0", after: str = ""
+) -> Course:
+    """The letter's gap: a controller is refused alone, others confirm cancels, then an outage."""
+
+    def course(cluster: Cluster) -> None:
+        serving(cluster, machines=3)
+        for number in range(1, 7):
+            cluster.submit("n-1", f"run-{number}", vcpus=16.0)
+        cluster.run(8.0)
+        assert sum(len(w.pieces) for w in cluster.workers.values()) == 6
+        cluster.links[who].refused = True
+        if apart:
+            cluster.cut |= {frozenset((who, other)) for other in NAMES if other != who}
+        cluster.cancel("n-1", "run-1")
+        for at in range(round(before_s / 0.5)):
+            cluster.cancel("n-2" if at % 2 else "n-1", f"run-{1 + at % 4}")
+            cluster.poll("n-0", f"run-{1 + at % 4}")
+            cluster.run(0.5)
+        cluster.store.down = True
+        if after == "dies":
+            cluster.dead.add(who)
+        for _ in range(round(outage_s)):
+            cluster.run(1.0)
+            for ref in range(1, 7):
+                cluster.cancel("n-1", f"run-{ref}")
+                if who not in cluster.dead:
+                    cluster.poll(who, f"run-{ref}")
+        if after == "dies":
+            cluster.boot(who)
+        cluster.links[who].refused = False
+        cluster.store.down = False
+        if after == "frozen":
+            cluster.frozen.add(who)
+        leader = cluster.nodes[who].leader
+        if leader is not None:
+            leader.renew_once()  # before any watch of its own is answered
+        for _ in range(20):
+            for ref in range(1, 7):
+                cluster.cancel("n-1", f"run-{ref}")
+                for name in NAMES:
+                    cluster.poll(name, f"run-{ref}")
+            cluster.run(0.25)
+
+    return course
+
+
+def cancelled_at_the_refusal(cluster: Cluster) -> None:
+    """As above, but the workers keep to the refused one, and one of them hangs meanwhile."""
+    worker = running(cluster)
+    cluster.cut |= {frozenset(("n-0", "n-1")), frozenset(("n-0", "n-2"))}
+    cluster.links["n-0"].refused = True
+    cluster.run(3.25)
+    worker.unreachable |= {"n-1", "n-2"}
+    cluster.store.tend()
+    cluster.nodes["n-1"].leader = None
+    assert cluster.cancel("n-1") == 200  # nobody holds the lease
+    cluster.store.down = True
+    cluster.run(10.0)
+    worker.hangs = True
+    cluster.run(9.0)
+    worker.hangs = False
+    cluster.run(40.0)
+    assert not worker.pieces
+
+
+# -- changes of leader ----------------------------------------------------------------------------
+
+
+def an_old_report_reaches_the_next_leader(cluster: Cluster) -> None:
+    """Copies from before, of tasks that run elsewhere by now, as a new leader begins."""
+    first = running(cluster)
+    old = copy.deepcopy(first.report_now())
+    second = cluster.worker("i-000002")
+    cluster.run(6.0)
+    first.tenure += 1
+    first.tick = 0
+    first.pieces.clear()
+    first.hangs = True
+    cluster.run(1.0)
+    cluster.run(24.0)
+    assert second.pieces and not first.pieces
+    first.hangs = False
+    cluster.run(6.0)
+    cluster.dead.add("n-0")
+    first.mute = True  # only the copy comes in its name at first
+    while not any(n.leader for name, n in cluster.nodes.items() if name != "n-0"):
+        cluster.run(0.25)
+    second.report_now()
+    second.report_now()
+    for name in ("n-1", "n-2"):
+        cluster.report(name, copy.deepcopy(old))
+    cluster.run(1.0)
+    first.mute = False
+    cluster.run(30.0)
+
+
+def an_old_report_of_a_machine_that_is_gone(cluster: Cluster) -> None:
+    """It must not come back, be recorded, or keep a job from room."""
+    first = running(cluster)
+    old = copy.deepcopy(first.report_now())
+    del cluster.workers[first.name]
+    second = cluster.worker("i-000002")
+    cluster.run(30.0)
+    assert second.pieces  # released as silent, or its lease was over
+    second.pieces.clear()
+    second.tenure += 1
+    cluster.dead.add("n-0")
+    while not any(n.leader for name, n in cluster.nodes.items() if name != "n-0"):
+        cluster.run(0.25)
+    for name in ("n-1", "n-2"):
+        for _ in range(3):
+            cluster.report(name, copy.deepcopy(old))
+    cluster.run(8.0)
+    assert second.pieces, "the job waits for a machine that is gone"
+    leader = cluster.nodes[cluster.leader_name].leader
+    assert leader is not None and first.name not in leader.ctx.picture.machines
+    assert not any(
+        first.name.encode() in value
+        for key, (value, _, _) in cluster.store.data.items()
+        if key.startswith("m/")
+    )
+
+
+def a_take_over_without_an_answer(cluster: Cluster) -> None:
+    """It is written, and its writer does not know: nobody may be without a leader for long."""
+    running(cluster)
+    cluster.dead.add("n-0")
+    cluster.links["n-2"].refused = True
+    link = cluster.links["n-1"]
+    link.answer_lost = True
+    while '"n-1"' not in str(cluster.store.data.get("lead/holder", "")):
+        cluster.run(0.25)
+    cluster.links["n-2"].refused = link.answer_lost = False
+    cluster.run(1.0)
+    assert cluster.nodes["n-1"].leader is not None, "its own take-over is not known to it"
+    cluster.cancel("n-2")
+    cluster.ask_all()
+
+
+def leaders_change_ten_times(cluster: Cluster) -> None:
+    """In two minutes, also inside an outage; each is back within a second."""
+    serving(cluster, machines=2)
+    for number in range(1, 9):
+        cluster.submit("n-1", f"run-{number}", vcpus=16.0)
+    for at in range(10):
+        name = cluster.leader_name
+        cluster.store.down = at in (3, 4)
+        cluster.dead.add(name)
+        cluster.run(0.5)
+        cluster.boot(name)
+        cluster.cancel(NAMES[at % 3], f"run-{at % 4 + 1}")
+        for _ in range(11):
+            cluster.run(1.0)
+            for ref in range(1, 9):
+                cluster.poll(NAMES[at % 3], f"run-{ref}")
+    cluster.store.down = False
+
+
+def all_controllers_away(cluster: Cluster) -> None:
+    """For longer than `lease_s`; meanwhile nothing is answered."""
+    worker = running(cluster)
+    cluster.dead |= set(NAMES)
+    cluster.run(25.0)
+    assert not worker.pieces
+    for name in NAMES:
+        cluster.boot(name)
+    cluster.run(45.0)
+    assert worker.pieces
+
+
+def new_machines_while_writes_lag(cluster: Cluster) -> None:
+    """Up at once and given work at once, and the leader ends before its writes are made."""
+    serving(cluster)
+    cluster.workers["i-000001"].hangs = True
+    link = cluster.links["n-0"]
+    link.late = True
+    cluster.submit("n-1")
+    new = cluster.worker("i-000002")
+    cluster.run(6.0)
+    assert not new.pieces, "a start without a record"
+    link.catch_up()
+    cluster.run(4.0)
+    assert new.pieces
+    new.unreachable |= {"n-1", "n-2"}
+    cluster.dead.add("n-0")
+    cluster.worker("i-000003")
+    cluster.run(20.0)
+
+
+def limits_while_leaders_change(cluster: Cluster) -> None:
+    """A team is at its limit; its jobs are cancelled on machines that can't be asked."""
+    for number in range(1, 5):
+        cluster.worker(f"i-{number:06d}", flavour="g4")
+    cluster.run(4.0)
+    for number in range(1, 3):
+        cluster.submit("n-1", f"run-{number}", cards=4.0, vcpus=1.0)
+    cluster.run(10.0)
+    held = [worker for worker in cluster.workers.values() if worker.pieces]
+    assert len(held) == 2
+    for number in range(3, 6):
+        cluster.submit("n-1", f"run-{number}", cards=4.0, vcpus=1.0)
+    cluster.run(2.0)
+    held[0].hangs = True
+    held[1].unreachable |= {"n-1", "n-2"}
+    cluster.cancel("n-1", "run-1")
+    cluster.cancel("n-2", "run-2")
+    cluster.dead.add("n-0")
+    cluster.run(15.0)
+    held[0].hangs = False
+    cluster.run(35.0)
+
+
+def machines_that_hear_or_speak_only(cluster: Cluster) -> None:
+    """Mute and deaf ones, cancels, and a change of leader."""
+    serving(cluster, machines=4)
+    for number in range(1, 5):
+        cluster.submit("n-1", f"run-{number}", vcpus=20.0)
+    cluster.run(8.0)
+    workers = list(cluster.workers.values())
+    workers[0].mute = workers[1].deaf = True
+    workers[2].unreachable |= {"n-0"}
+    for number in range(1, 4):
+        cluster.cancel("n-1", f"run-{number}")
+    cluster.run(2.0)
+    cluster.dead.add("n-0")
+    cluster.run(45.0)
+
+
+def tasks_end_far_apart(cluster: Cluster) -> None:
+    """A finish is told before, another one after a change of leader."""
+    first = serving(cluster, machines=2)
+    second = cluster.workers["i-000002"]
+    cluster.submit("n-1", pieces=2, vcpus=30.0)
+    cluster.run(6.0)
+    assert first.pieces and second.pieces
+    cluster.end(first)
+    cluster.run(3.0)
+    cluster.dead.add("n-0")
+    cluster.run(8.0)
+    cluster.poll("n-1")
+    cluster.end(second)
+    cluster.run(4.0)
+    assert cluster.poll("n-1") == 200
+    assert cluster.referee.final == {"run-1": "done"}
+
+
+def a_leader_that_stands_still(cluster: Cluster) -> None:
+    """Its clocks run on; others lead and cancel meanwhile; then it goes on."""
+    worker = running(cluster)
+    cluster.frozen.add("n-0")
+    cluster.run(5.0)
+    cluster.cancel("n-1")
+    cluster.run(2.0)
+    cluster.frozen.clear()
+    cluster.report("n-0", worker.report())
+    cluster.poll("n-0")
+    cluster.run(3.0)
+
+
+def apart_from_store_and_peers(cluster: Cluster) -> None:
+    """Workers and users still reach the old leader while jobs are cancelled at the new one."""
+    worker = running(cluster)
+    worker.unreachable |= {"n-1", "n-2"}
+    cluster.links["n-0"].refused = True
+    cluster.cut |= {frozenset(("n-0", "n-1")), frozenset(("n-0", "n-2"))}
+    for _ in range(60):
+        cluster.run(1.0)
+        cluster.cancel("n-1")
+        cluster.poll("n-0")
+        cluster.poll("n-2")
+
+
+def one_zone_loses_machines(cluster: Cluster) -> None:
+    """An array bound to a zone; the machines there go one after the other."""
+    for number in range(1, 4):
+        cluster.worker(f"i-{number:06d}", site="b")
+    cluster.worker("i-000004", site="a")
+    cluster.run(4.0)
+    cluster.submit("n-1", pieces=6, vcpus=10.0, site="b")
+    cluster.run(6.0)
+    del cluster.workers["i-000001"]
+    cluster.run(10.0)
+    cluster.workers["i-000002"].hangs = True
+    cluster.dead.add("n-0")
+    cluster.run(30.0)
+    assert not cluster.workers["i-000004"].pieces
+
+
+COURSES: list[Course] = [
+    cancelled_while_the_next_leader_reads,
+    cancelled_before_the_leader_knows_the_job,
+    cancelled_as_a_poll_finds_it,
+    cancelled_as_a_repeated_submission_finds_it,
+    cancelled_while_the_leader_renews_but_hears_no_changes,
+    cancelled_by_a_clock_that_is_ahead,
+    cancelled_on_its_way_while_a_poll_waits,
+    cancelled_in_the_moment_of_the_take_over,
+    cancelled_as_the_last_task_ends,
+    ended_by_a_write_that_comes_late,
+    accepted_without_an_answer,
+    cancelled_at_the_refusal,
+    an_old_report_reaches_the_next_leader,
+    an_old_report_of_a_machine_that_is_gone,
+    a_take_over_without_an_answer,
+    leaders_change_ten_times,
+    all_controllers_away,
+    new_machines_while_writes_lag,
+    limits_while_leaders_change,
+    machines_that_hear_or_speak_only,
+    tasks_end_far_apart,
+    a_leader_that_stands_still,
+    apart_from_store_and_peers,
+    one_zone_loses_machines,
+]
+
+
+@pytest.mark.parametrize("course", COURSES, ids=lambda course: course.__name__)
+def test_no_rule_breaks_where_troubles_meet(cluster: Cluster, course: Course) -> None:
+    course(cluster)
+    assert cluster.verdict() == []
+
+
+@pytest.mark.parametrize(
+    ("before_s", "outage_s", "apart", "who", "after"),
+    [
+        (0.0, 52.0, False, "n-0", ""),
+        (0.0, 52.0, True, "n-0", ""),
+        (0.5, 52.0, True, "n-0", ""),
+        (2.0, 52.0, False, "n-0", ""),
+        (2.0, 52.0, True, "n-0", ""),
+        (2.0, 20.0, True, "n-0", ""),
+        (2.0, 90.0, True, "n-0", ""),
+        (5.0, 52.0, True, "n-0", ""),
+        (2.0, 52.0, True, "n-1", ""),  # the refused one does not lead
+        (0.5, 90.0, True, "n-0", "dies"),
+        (2.0, 52.0, True, "n-0", "dies"),
+        (2.0, 52.0, False, "n-0", "frozen"),
+        (5.0, 90.0, True, "n-0", "frozen"),
+    ],
+)
+def test_the_leader_refused_alone_and_then_an_outage(
+    cluster: Cluster, before_s: float, outage_s: float, apart: bool, who: str, after: str
+) -> None:
+    refused_alone(before_s, outage_s, apart, who, after)(cluster)
+    assert cluster.verdict() == []
