--- a/src/ryewing/intake.py
+++ b/src/ryewing/intake.py
@@ -32,8 +32,8 @@
         self.writer = writer
         self.dispatch = dispatch
         self.epoch = Epoch(0)
-        self._cancelled_early: dict[JobId, Steady] = {}
-        """Cancels told here before the job was known, and when."""
+        self._cancelled_early: set[JobId] = set()
+        """Cancels told here before the job was known, until a watch has brought what there is."""
 
     def poll(self, job_id: JobId) -> RunStatus | None:
         """Tell a job's state, or None if only the store can tell.
@@ -61,7 +61,7 @@
         if job is not None:
             self._cancel(job)
             return True
-        self._cancelled_early[job_id] = steady_now()
+        self._cancelled_early.add(job_id)
         return True
 
     def _cancel(self, job: Job) -> None:
@@ -101,8 +101,8 @@
     def _followed(self, asked_at: Steady) -> None:
         """All that was in the store at this time is known."""
         self.ctx.authority.follow(asked_at)
-        for job_id in [job for job, told_at in self._cancelled_early.items() if told_at < asked_at]:
-            del self._cancelled_early[job_id]
+        # Whatever came while this was under way, the next one is asked after that.
+        self._cancelled_early.clear()
 
     def job_set(self, data: msgspec.Raw, stamp: Stamp) -> None:
         """Take in a job's record, if it is newer than what is known."""
@@ -116,13 +116,13 @@
         """Take in a job, with a cancel that was told here before it was known."""
         job = self.ctx.book.put(record, stamp, inherited)
         if job.id in self._cancelled_early:
-            del self._cancelled_early[job.id]
+            self._cancelled_early.discard(job.id)
             self._cancel(job)
         elif record.cancelled:
             self._cancel(job)
 
     def _job_removed(self, job_id: JobId) -> None:
-        self._cancelled_early.pop(job_id, None)
+        self._cancelled_early.discard(job_id)
         job = self.ctx.book.get(job_id)
         if job is not None and not job.live:
             self.writer.settled(job)
--- a/src/ryewing/writer.py
+++ b/src/ryewing/writer.py
@@ -290,10 +290,6 @@
         """A final write met another version: a cancel won, or an earlier try was applied."""
         entry = self.ctx.store.get(live_key(job.id))
         if entry is not None:
-            if entry.stamp != job.stamp:
-                self._answered(
-                    job.id
-                )  # what named the version before can't be carried out any more
             self._on_record(entry.data, Stamp(entry.stamp))
             return
         final = self.ctx.store.get(final_key(job.id))
@@ -301,14 +297,10 @@
             status = msgspec.json.decode(final.data, type=dict[str, str])["status"]
             self._finalised(job, status)
 
-    def _answered(self, job_id: JobId) -> None:
-        """What was written of a job's final state is known."""
-        self._unanswered.discard(job_id)
-        self.final_pending.discard(job_id)
-
     def settled(self, job: Job) -> None:
         """The store has no live record of the job any more."""
-        self._answered(job.id)
+        self._unanswered.discard(job.id)
+        self.final_pending.discard(job.id)
         self.ctx.book.drop(job)
 
     def _recorded(self, machines: list[tuple[Machine, bool]]) -> None:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -83,6 +83,8 @@
         """The store turns this controller away, with 503 or by silence."""
         self.mute_watch = False
         """Its watches alone hang; all else is answered."""
+        self.during_watch: Callable[[], None] | None = None
+        """Called while a watch is under way, after the store has answered it."""
         self.stale_watch: Epoch | None = None
         """Its watches show nothing newer than this: answers that were long on their way."""
         self.answer_lost = False
@@ -90,6 +92,8 @@
         self.late = False
         """Transactions get no answer now and are carried out when `catch_up` is called."""
         self._held: list[tuple[dict[str, Stamp], list[Put | Remove]]] = []
+        self.after_txn: Callable[[], None] | None = None
+        """Called when a transaction has been carried out, before its answer arrives."""
         self.before_answer: Callable[[str], None] | None = None
         """Called with the key of a reading that is under way, after the store has read it."""
 
@@ -122,6 +126,9 @@
             self._held.append((dict(conditions), copy.deepcopy(list(writes))))
             raise StoreDown("no answer")
         result = self._store.txn(conditions, writes)
+        if self.after_txn is not None:
+            meanwhile, self.after_txn = self.after_txn, None
+            meanwhile()
         if self.answer_lost:
             raise StoreDown("the answer was lost")
         return result
@@ -150,6 +157,9 @@
         if self.mute_watch:
             raise StoreDown("deadline")
         found = self._store.watch(prefix, since, wait_s)
+        if self.during_watch is not None:
+            meanwhile, self.during_watch = self.during_watch, None
+            meanwhile()
         if self.stale_watch is not None:
             until = self.stale_watch
             log = [change for change in found.log if change.stamp <= until]
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import json
 from typing import Any
 
 import msgspec
@@ -141,6 +142,52 @@
     assert client.submit(**changes)[0] == status
 
 
+NULLABLE = ("flavours", "site", "due_s")
+TEXTS = ("ref", "jobclass", "owner", "shape", "rank", "bundle")
+AMOUNTS = ("vcpus", "cards", "mem_gb", "image_gb", "guess_s", "savepoint_s", "flush_s", "due_s")
+NEEDS = ("vcpus", "cards", "mem_gb")
+
+
+@pytest.mark.parametrize("field", [*submission(flavours=["c32"], site="a", due_s=9.0)])
+def test_every_field_by_itself(client: Client, field: str) -> None:
+    """Left out, null, of a wrong type, negative, huge: refused for good, and never accepted.
+
+    Jobs that lacked `together`, `spread` or `loaner` were accepted.
+    """
+    good = submission(flavours=["c32"], site="a", due_s=9.0)
+    left_out = {name: value for name, value in good.items() if name != field}
+    wrong: list[Any] = [{}, -1, "x", [1], 10**400]
+    if field in TEXTS:
+        wrong = [{}, -1, 4.5, True, [], ""]
+    elif field in ("together", "spread", "loaner"):
+        wrong = [{}, 0, 1, "true", []]
+    elif field == "flavours":
+        wrong = [{}, 1, "c32", [None], [[]]]
+    elif field == "site":
+        wrong = [{}, 1, True, ["a"]]
+    elif field in AMOUNTS:
+        wrong = [{}, True, "4", [4.0], -1.0]
+    if field not in NULLABLE:
+        wrong.append(None)
+        assert client("POST", "/v2/runs", msgspec.json.encode(left_out))[0] == 400
+    for value in wrong:
+        body = msgspec.json.encode({**good, field: 0}).replace(
+            f'"{field}":0'.encode(), f'"{field}":{json.dumps(value)}'.encode()
+        )
+        assert client("POST", "/v2/runs", body)[0] == 400, value
+    for text in (b"NaN", b"Infinity", b"1e999", b"-1e999"):
+        body = msgspec.json.encode({**good, field: 0}).replace(
+            f'"{field}":0'.encode(), f'"{field}":'.encode() + text
+        )
+        assert client("POST", "/v2/runs", body)[0] == 400, text
+    if field in NEEDS:
+        assert client.submit(**{field: 1e300})[0] == 422
+    assert client("GET", "/v2/runs/run-1")[0] == 404
+    if field in NULLABLE:
+        assert client("POST", "/v2/runs", msgspec.json.encode(left_out))[0] == 201
+        assert client.submit(**{field: None}) == (200, {"ref": "run-1", "status": "queued"})
+
+
 @pytest.mark.parametrize("changes", [{}, {"pieces": 0}, {"owner": "nobody"}])
 @pytest.mark.parametrize("state", ["queued", "cancelled", "done"])
 @pytest.mark.parametrize("full", [False, True])
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -124,6 +124,48 @@
     cluster.run(5.0)
 
 
+def cancelled_while_a_watch_brings_the_job(cluster: Cluster) -> None:
+    """The answer that brings the job was made before the cancel, and arrives after it was told."""
+    serving(cluster)
+    assert cluster.submit("n-1") == 201
+
+    def cancelled() -> None:
+        assert cluster.cancel("n-2") == 200
+
+    cluster.links["n-0"].during_watch = cancelled
+    leader = cluster.nodes["n-0"].leader
+    assert leader is not None
+    leader.intake.watch_once()
+    cluster.ask_all()
+
+
+def cancelled_before_its_acceptance_is_told(cluster: Cluster) -> None:
+    """The submission is written, repeated elsewhere and cancelled before its answer is there."""
+    serving(cluster)
+
+    def cancelled() -> None:
+        assert cluster.submit("n-1") == 200
+        assert cluster.cancel("n-1") == 200
+
+    cluster.links["n-1"].after_txn = cancelled
+    cluster.submit("n-1")
+    cluster.ask_all()
+
+
+def cancelled_beside_a_leader_that_nobody_else_reaches(cluster: Cluster) -> None:
+    """It follows the store all the time; its peers' users must not wait for ever."""
+    worker = running(cluster)
+    worker.deaf = True  # so that the end of its task can't be written yet
+    cluster.cut |= {frozenset(("n-0", "n-1")), frozenset(("n-0", "n-2"))}
+    for _ in range(16):
+        if cluster.cancel("n-1") == 200:
+            break
+        cluster.run(1.0)
+    assert cluster.referee.final == {"run-1": "cancelled"}, "never answered"
+    assert worker.pieces
+    cluster.ask_all()
+
+
 def _written_but_not_told(cluster: Cluster) -> None:
     """A cancel is in the store; the one who wrote it does not know, nor does the leader."""
     running(cluster)
@@ -552,6 +594,9 @@
 COURSES: list[Course] = [
     cancelled_while_the_next_leader_reads,
     cancelled_before_the_leader_knows_the_job,
+    cancelled_while_a_watch_brings_the_job,
+    cancelled_before_its_acceptance_is_told,
+    cancelled_beside_a_leader_that_nobody_else_reaches,
     cancelled_as_a_poll_finds_it,
     cancelled_as_a_repeated_submission_finds_it,
     cancelled_while_the_leader_renews_but_hears_no_changes,
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -10,15 +10,16 @@
 from typing import Any
 
 import pytest
-from stage import Stage, starts
+from stage import Stage, starts, verbs
 from standins import FakeWorker, policy, settings
 
+from ryewing.dispatch import ORDERS_MAX
 from ryewing.leadership import campaign, may_campaign, read_view
 from ryewing.picture import PLANNED, RUNNING, SENT
 from ryewing.store import Store, StoreDown
 from ryewing.transport import Reply
-from ryewing.units import MachineId, NodeName, Term, token_of
-from ryewing.wire import Hire, Report
+from ryewing.units import JobId, MachineId, NodeName, Term, token_of
+from ryewing.wire import Hire, Report, ReportedPiece
 
 LEASE_S = settings().params.workers.lease_s
 REPORT_S = settings().params.workers.report_s
@@ -393,3 +394,71 @@
     view = read_view(store)
     assert view.holder is not None and (view.holder.boot, view.term) == ("after", won.term)
     assert not may_campaign(view, node, "after") and may_campaign(view, node, "again")
+
+
+@pytest.mark.parametrize("old_first", [True, False])
+@pytest.mark.parametrize("cancelled", [True, False])
+def test_a_task_told_from_two_machines_is_gone_once_it_is_gone_from_both(
+    stage: Stage, old_first: bool, cancelled: bool
+) -> None:
+    """One of the two reports is old, held back until a new leader began; which one shows later."""
+    was, runs = stage.worker("i-000001"), stage.worker("i-000002")
+    stage.ready(was, runs)
+    name = stage.accept(pieces=1)
+    held_back = was.report()
+    held_back.pieces = [ReportedPiece(f"{name}/0", 3, "running")]
+    runs.pieces[f"{name}/0", 9] = ReportedPiece(f"{name}/0", 9, "running")
+    stage.new_leader(6)
+    reports = [held_back, runs.report()]
+    for report in reports if old_first else reversed(reports):
+        assert stage.leader.on_report(report) is not None
+    found = stage.leader.ctx.book.get(name)
+    assert found is not None and found.shortfall == 0
+    if cancelled:
+        stage.leader.take_cancel(name)
+        stage.leader.dispatch.send(stage.leader.ctx.picture.machines[MachineId(runs.name)])
+        assert [piece.status for piece in runs.pieces.values()] == ["ended"]  # by a direct halt
+    for worker in (was, runs, was, runs):  # the handshake shows what is where
+        stage.exchange(worker)
+    stage.place()
+    for worker in (was, runs):
+        assert not starts(stage.exchange(worker))
+    assert found.shortfall == 0 and len(runs.pieces) == (0 if cancelled else 1)
+    if not cancelled:
+        stage.end(runs)
+    stage.exchange(runs)
+    stage.write()
+    assert stage.finals == {name: "cancelled" if cancelled else "done"}
+
+
+def test_a_report_that_comes_after_the_end_leaves_nothing_to_write(stage: Stage) -> None:
+    """The other machine of the two is found empty when the job is gone: the term ended by that."""
+    was, runs = stage.worker("i-000001"), stage.worker("i-000002")
+    stage.ready(was, runs)
+    name = stage.accept(pieces=1)
+    was.pieces[f"{name}/0", 3] = ReportedPiece(f"{name}/0", 3, "running")
+    runs.pieces[f"{name}/0", 9] = ReportedPiece(f"{name}/0", 9, "running")
+    for worker in (was, runs):
+        stage.exchange(worker)
+    stage.end(runs)
+    stage.write()
+    assert stage.finals == {name: "done"}
+    was.pieces.clear()
+    stage.exchange(was)
+    stage.write()
+    assert not stage.leader.ctx.book.dirty and not stage.lost
+
+
+def test_halts_are_not_crowded_out_by_what_has_ended(stage: Stage) -> None:
+    """One answer holds so many commands; a cancelled task goes first."""
+    worker = stage.ready_worker()
+    stage.begin(worker, "run-1", pieces=1)
+    for number in range(ORDERS_MAX + 50):
+        key = f"run-9/{number}"
+        worker.pieces[key, 1] = ReportedPiece(key, 1, "ended", "stopped")
+    stage.exchange(worker)
+    for number in range(ORDERS_MAX + 50):
+        key = f"run-9/{number}"
+        worker.pieces[key, 2] = ReportedPiece(key, 2, "ended", "stopped")
+    stage.leader.take_cancel(JobId("run-1"))
+    assert "halt" in verbs(stage.exchange(worker))
