--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -26,6 +26,7 @@
 
 HIRE_PREFIX = "h/"
 LIST_EVERY_S = 4.0
+UNLISTED_TWICE = 2
 FLAVOURS_EVERY_S = 60.0
 UNHEARD_EXTRA_S = 0.5
 RETIRE_SHARE = 0.01
@@ -50,6 +51,8 @@
         self._hires = 0
         self._listed_at = Steady(-1e9)
         self._flavours_at = Steady(-1e9)
+        self._only_listed: dict[MachineId, int] = {}
+        """Machines known from lists alone, and how many lists in a row have lacked them."""
         self._types_kept: frozenset[str] = frozenset()
         """The machine types that the store has."""
 
@@ -208,8 +211,10 @@
         now = steady_now()
         self._listed_at = now
         failed = []
+        found: set[MachineId] = set()
         for listed in self.cloud.machines():
             name = MachineId(listed.ref)
+            found.add(name)
             if name in self.ctx.released:
                 continue
             machine = self.ctx.picture.machines.get(name)
@@ -218,6 +223,7 @@
                     name, self.ctx.flavour(listed.flavour), Zone(listed.site), listed.loaner, now
                 )
                 machine.rented_at = Steady(now - listed.age_s)
+                self._only_listed[name] = 0
                 log.info("event=listed-machine machine=%s status=%s", name, listed.status)
             if listed.addr and not machine.addr:
                 machine.addr = listed.addr
@@ -227,6 +233,26 @@
                 failed.append((machine, "failed"))
         if failed:
             self.release(failed)
+        self._forget_unlisted(found)
+
+    def _forget_unlisted(self, found: set[MachineId]) -> None:
+        """Forget machines that a list has brought, nobody has heard, and lists lack again.
+
+        Found by reading: lists are old, so a new leader took up what its predecessor had returned
+        just before, and counted it as booting, for minutes. One list may be older than the one
+        before it, so two have to agree.
+        """
+        for name in list(self._only_listed):
+            machine = self.ctx.picture.machines.get(name)
+            if machine is None or machine.heard_at is not None or machine.recorded:
+                del self._only_listed[name]
+            elif name in found:
+                self._only_listed[name] = 0
+            else:
+                self._only_listed[name] += 1
+                if self._only_listed[name] >= UNLISTED_TWICE:
+                    del self._only_listed[name]
+                    self.ctx.picture.remove(machine, steady_now())
 
     def rent(self) -> None:
         """Ask for what is short, beyond what is booting."""
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -18,7 +18,7 @@
 from ryewing.renter import HIRE_PREFIX
 from ryewing.store import Put, StoreDown
 from ryewing.units import MachineId, NodeName, Stamp, Term, token_of
-from ryewing.wire import ReportedPiece
+from ryewing.wire import ListedHost, ReportedPiece
 from ryewing.writer import MACHINE_PREFIX, MachineRecord
 
 
@@ -480,6 +480,35 @@
     assert machine.usable()
 
 
+@pytest.mark.parametrize(
+    ("lists", "heard", "known"),
+    [
+        ([True], False, True),
+        ([True, False], False, True),  # a list may be older than the one before it
+        ([True, False, True, False], False, True),
+        ([True, False, False], False, False),
+        ([True, False, False], True, True),
+        ([True, False, False, True], False, True),
+    ],
+)
+def test_what_a_predecessor_returned_is_not_waited_for(
+    stage: Stage, lists: list[bool], heard: bool, known: bool
+) -> None:
+    """Lists are old: a new leader took up machines that were gone, and counted them as booting."""
+    worker = stage.worker()
+    for shown in lists:
+        host = ListedHost(worker.name, "c32", "a", "running", "", False, 5.0)
+        stage.cloud.listed = [host] if shown else []
+        stage.leader.renter._list()
+        if heard:
+            stage.exchange(worker)
+    assert (MachineId(worker.name) in stage.leader.ctx.picture.machines) is known
+    stage.accept(pieces=8)
+    stage.place()
+    stage.leader.renter.rent()
+    assert bool(stage.cloud.requests) is not known
+
+
 @pytest.mark.parametrize(("machines", "silent", "given_up"), [(9, 2, 2), (9, 6, 0)])
 def test_silent_machines_are_released_unless_they_are_many(
     stage: Stage, machines: int, silent: int, given_up: int
