--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -28,6 +28,8 @@
 )
 
 from ryewing.api import Api
+from ryewing.budget import Budget
+from ryewing.cloud import CloudDown
 from ryewing.leader import Leader
 from ryewing.leadership import may_campaign, read_view
 from ryewing.mesh import Answer, Ask, PeerSilent
@@ -363,6 +365,7 @@
         self.store = TimedStore(clock)
         self.cloud = FakeCloud()
         self.cloud.release = self._release  # type: ignore[method-assign]
+        self.cloud_down = False
         self.cut: set[frozenset[str]] = set()
         self.dead: set[str] = set()
         self.frozen: set[str] = set()
@@ -372,6 +375,8 @@
         self.links: dict[str, StoreLink] = {}
         self.nodes: dict[str, Node] = {}
         self.apis: dict[str, Api] = {}
+        self.state_limits: dict[str, float] = {}
+        """Limits of the store, other than in the settings, for controllers booted from now on."""
         self.after_load: Callable[[], None] | None = None
         """Called when a new leader has read the store, before anything else."""
         types = msgspec.to_builtins(FlavourList([CPU, GPU]))
@@ -386,7 +391,9 @@
             for n, other in enumerate(NAMES)
             if other != name
         ]
-        raw = {**RAW_SETTINGS, "node": name, "members": members}
+        params = {**RAW_SETTINGS["params"]}
+        params["state"] = {**params["state"], **self.state_limits}
+        raw = {**RAW_SETTINGS, "node": name, "members": members, "params": params}
         settings = msgspec.convert(raw, Settings)
         node = Node(settings, defaults(settings))
         link = StoreLink(self.store)
@@ -433,7 +440,7 @@
             if node.leader is leader:
                 try:
                     act()
-                except StoreDown:
+                except (StoreDown, CloudDown):
                     pass
 
     def load(self, leader: Leader) -> bool:
@@ -476,10 +483,14 @@
         leader = node.leader
         if leader is not None:
             leader.renter.cloud = self.cloud  # type: ignore[assignment]
+            budget = leader.writer._budget
+            leader.writer._budget = Budget(budget.rate, budget.burst, self.clock)
             leader.dispatch.workers = DirectLink(self, node.name)  # type: ignore[assignment]
             leader.dispatch.send_soon = leader.dispatch._send_now  # type: ignore[method-assign]
 
     def _release(self, machines: list[MachineId]) -> None:
+        if self.cloud_down:
+            raise CloudDown("503")
         for name in machines:
             self.workers.pop(name, None)
 
@@ -557,7 +568,7 @@
 
     def settle(self, seconds: float = 60.0) -> None:
         """All troubles are over."""
-        self.store.down = False
+        self.store.down = self.cloud_down = False
         self.cut.clear()
         self.frozen.clear()
         self.after_load = None
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -16,6 +16,7 @@
 
 from ryewing.store import Put
 from ryewing.units import Epoch
+from ryewing.wire import ReportedPiece
 
 Course = Callable[[Cluster], None]
 
@@ -40,6 +41,7 @@
     for part in ("api", "placer"):
         monkeypatch.setattr(f"ryewing.{part}.wall_now", clock)
     monkeypatch.setattr("ryewing.leader.Leader.start", lambda leader: None)
+    monkeypatch.setattr("gevent.sleep", lambda _seconds: None)
     yield Cluster(clock)
 
 
@@ -250,12 +252,42 @@
 
 def cancelled_as_the_last_task_ends(cluster: Cluster) -> None:
     """The end is written or about to be while users cancel, ask and repeat the submission."""
+    for number, link in enumerate((cluster.links["n-2"], cluster.links["n-2"]), 1):
+        ref = f"run-{number}"
+        worker = running(cluster, ref)
+        cluster.end(worker)
+        worker.report_now()
+        leader = cluster.nodes["n-0"].leader
+        assert leader is not None
+        # The end is written after the cancel, and then between its reading and its writing.
+        write = leader.writer.write_once
+        if number == 1:
+            link.after_txn = lambda write=write: write() and None
+        else:
+            link.before_answer = lambda _key, write=write: write() and None
+        cluster.cancel("n-2", ref)
+        link.before_answer = None
+        cluster.ask_all(ref)
+        cluster.run(1.0)
+        cluster.ask_all(ref)
+    assert cluster.referee.final == {"run-1": "cancelled", "run-2": "done"}
+
+
+def asked_as_the_last_task_ends(cluster: Cluster) -> None:
+    """The end is written while a reader of the store looks for the job."""
     worker = running(cluster)
     cluster.end(worker)
     worker.report_now()
-    cluster.cancel("n-2")
-    cluster.ask_all()
-    cluster.run(1.0)
+    leader = cluster.nodes["n-0"].leader
+    assert leader is not None
+    cluster.cut.add(frozenset(("n-0", "n-2")))
+
+    def ends(_key: str) -> None:
+        leader.writer.write_once()
+
+    cluster.links["n-2"].before_answer = ends
+    cluster.poll("n-2")
+    cluster.links["n-2"].before_answer = None
     cluster.ask_all()
 
 
@@ -294,9 +326,18 @@
         link.answer_lost = link.late = False
         cluster.submit("n-2", ref)
         cluster.ask_all(ref)
+        if lost:
+            cluster.cancel("n-2", ref)
+        else:
+            cluster.run(6.0)
+            cluster.end(cluster.workers["i-000001"])
+            cluster.run(2.0)
+        cluster.ask_all(ref)
         link.catch_up()
-        cluster.cancel("n-2", ref)
+        cluster.boot("n-1")  # one that remembers nothing
+        link = cluster.links["n-1"]
         cluster.ask_all(ref)
+    assert cluster.referee.final == {"run-1": "cancelled", "run-2": "done"}
 
 
 # -- the leader, refused alone, and an outage -----------------------------------------------------
@@ -487,6 +528,7 @@
     cluster.run(4.0)
     assert new.pieces
     new.unreachable |= {"n-1", "n-2"}
+    cluster.cloud_down = True
     cluster.dead.add("n-0")
     cluster.worker("i-000003")
     cluster.run(20.0)
@@ -506,11 +548,14 @@
         cluster.submit("n-1", f"run-{number}", cards=4.0, vcpus=1.0)
     cluster.run(2.0)
     held[0].hangs = True
-    held[1].unreachable |= {"n-1", "n-2"}
+    held[1].unreachable |= set(NAMES)
     cluster.cancel("n-1", "run-1")
     cluster.cancel("n-2", "run-2")
+    cluster.cloud_down = True
     cluster.dead.add("n-0")
-    cluster.run(15.0)
+    cluster.run(6.0)
+    cluster.submit("n-1", "run-6", cards=4.0, vcpus=1.0)
+    cluster.run(9.0)
     held[0].hangs = False
     cluster.run(35.0)
 
@@ -566,6 +611,7 @@
     """Workers and users still reach the old leader while jobs are cancelled at the new one."""
     worker = running(cluster)
     worker.unreachable |= {"n-1", "n-2"}
+    cluster.cloud_down = True
     cluster.links["n-0"].refused = True
     cluster.cut |= {frozenset(("n-0", "n-1")), frozenset(("n-0", "n-2"))}
     for _ in range(60):
@@ -604,6 +650,7 @@
     cancelled_on_its_way_while_a_poll_waits,
     cancelled_in_the_moment_of_the_take_over,
     cancelled_as_the_last_task_ends,
+    asked_as_the_last_task_ends,
     ended_by_a_write_that_comes_late,
     accepted_without_an_answer,
     cancelled_at_the_refusal,
@@ -628,6 +675,42 @@
     assert cluster.verdict() == []
 
 
+def test_single_tasks_four_a_second_at_the_lowest_write_rate(cluster: Cluster) -> None:
+    """A quarter is cancelled. Each job's end is one write; none is late, and none waits."""
+    cluster.state_limits = {"write_rps": 15.0}
+    for name in NAMES:
+        cluster.boot(name)
+    serving(cluster, machines=4)
+    before = cluster.store.writes
+    begun: dict[str, float] = {}
+    ended: dict[str, float] = {}
+    for number in range(1, 241):
+        ref = f"run-{number}"
+        assert cluster.submit(NAMES[number % 3], ref, vcpus=0.25, mem_gb=0.5) == 201
+        cluster.run(0.25)
+        if number % 4 == 0:
+            assert cluster.cancel(NAMES[number % 3], f"run-{number - 2}") == 200
+        for worker in cluster.workers.values():
+            for (piece, attempt), found in worker.pieces.items():
+                since = begun.setdefault(piece, cluster.clock())
+                if found.status == "running" and cluster.clock() >= since + 4.0:
+                    over = ReportedPiece(piece, attempt, "ended", "done")
+                    worker.pieces[piece, attempt] = over
+                    ended.setdefault(piece.split("/")[0], cluster.clock())
+                    worker.next_report = min(worker.next_report, cluster.clock() + 0.5)
+        cluster.referee.look()
+        for job, at in list(ended.items()):
+            if cluster.clock() >= at + 3.0:
+                assert cluster.poll("n-1", job) == 200
+                assert cluster.referee.final.get(job), f"{job} is told late"
+                del ended[job]
+    # Accepted: 1; ended: 2 (the live record goes, the final one comes); cancelled: 1 more.
+    assert cluster.store.writes - before <= 240 * 3 + 60 + 8
+    assert not [key for key in cluster.store.data if key.startswith("d/run")]
+    assert cluster.verdict() == []
+    assert set(cluster.referee.final.values()) == {"done", "cancelled"}
+
+
 @pytest.mark.parametrize(
     ("before_s", "outage_s", "apart", "who", "after"),
     [
