--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -17,7 +17,7 @@
 from .dispatch import Dispatch
 from .intake import Intake
 from .jobs import DONE_PREFIX, LIVE_PREFIX, JobRecord
-from .leadership import Mandate
+from .leadership import Leadership
 from .mesh import ImageHint
 from .placer import Placer
 from .policy import Policy
@@ -46,14 +46,14 @@
         settings: Settings,
         policy: Policy,
         store: Store,
-        mandate: Mandate,
+        leadership: Leadership,
         on_final: Callable[[JobId, str], None],
         on_lost: Callable[[str], None],
         on_flavours: Callable[[dict[str, Flavour]], None],
         hint: ImageHint | None = None,
     ) -> None:
         self._hint = hint
-        self.ctx = TermContext(settings, policy, store, mandate, on_lost, on_flavours)
+        self.ctx = TermContext(settings, policy, store, leadership, on_lost, on_flavours)
         self.writer = Writer(self.ctx, on_final, self._on_record)
         self.dispatch = Dispatch(self.ctx, self.writer)
         self.intake = Intake(self.ctx, self.writer, self.dispatch)
@@ -131,7 +131,7 @@
         """Ask the store to renew the lease; False if it did not answer."""
         sent_at = steady_now()
         try:
-            self.ctx.store.renew(self.ctx.mandate.tenancy, self.ctx.policy.store_lease_s / 3)
+            self.ctx.store.renew(self.ctx.leadership.lease, self.ctx.policy.store_lease_s / 3)
         except LeaseLost:
             self.ctx.lose("lease")
             return True
@@ -247,7 +247,7 @@
             # Authority ends before the lease does: its end may be made known late.
             self.ctx.lose(CUT)
             try:
-                self.ctx.store.resign(self.ctx.mandate.tenancy)
+                self.ctx.store.resign(self.ctx.leadership.lease)
             except StoreDown as error:
                 log.debug("event=resign-failed error=%s", error)
 
--- a/src/ryewing/leadership.py
+++ b/src/ryewing/leadership.py
@@ -126,13 +126,13 @@
     return view.holder.node == node and view.holder.boot != boot
 
 
-class Mandate:
+class Leadership:
     """A term won: what the leader needs to keep it and to write under it."""
 
-    def __init__(self, term: Term, term_stamp: Stamp, tenancy: int, authority: Authority) -> None:
+    def __init__(self, term: Term, term_stamp: Stamp, lease: int, authority: Authority) -> None:
         self.term = term
         self.term_stamp = term_stamp
-        self.tenancy = tenancy
+        self.lease = lease
         self.authority = authority
 
     def fenced(self, conditions: dict[str, Stamp] | None = None) -> dict[str, Stamp]:
@@ -146,23 +146,23 @@
 
 def campaign(
     store: Store, view: View, node: NodeName, boot: str, lease_s: float, hold_s: float
-) -> Mandate | None:
+) -> Leadership | None:
     """Try to take over; None if somebody else was first. Raises StoreDown."""
     sent_at = steady_now()
-    tenancy = store.grant(lease_s)
+    lease = store.grant(lease_s)
     term = Term(view.term + 1)
 
-    def won(term_stamp: Stamp) -> Mandate:
+    def won(term_stamp: Stamp) -> Leadership:
         authority = Authority(lease_s, hold_s)
         authority.confirm(sent_at)
-        return Mandate(term, term_stamp, tenancy, authority)
+        return Leadership(term, term_stamp, lease, authority)
 
     unanswered: StoreDown | None = None
     try:
         result = store.txn(
             {HOLDER_KEY: view.holder_stamp, TERM_KEY: view.term_stamp},
             [
-                Put(HOLDER_KEY, {"node": node, "boot": boot, "term": term}, tenancy),
+                Put(HOLDER_KEY, {"node": node, "boot": boot, "term": term}, lease),
                 Put(TERM_KEY, {"term": term}),
             ],
         )
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -148,7 +148,7 @@
 
     def _campaign(self, view: View) -> bool:
         """Try to take over; True if this node leads now."""
-        mandate = campaign(
+        leadership = campaign(
             self.store,
             view,
             self.name,
@@ -156,24 +156,26 @@
             self.policy.store_lease_s,
             self.policy.hold_s,
         )
-        if mandate is None:
+        if leadership is None:
             return False
         leader = Leader(
             self.settings,
             self.policy,
             self.store,
-            mandate,
+            leadership,
             self.finals.put,
             self._step_down,
             self._set_flavours,
             self._hint,
         )
-        log.info("event=leading node=%s term=%d version=%s", self.name, mandate.term, __version__)
+        log.info(
+            "event=leading node=%s term=%d version=%s", self.name, leadership.term, __version__
+        )
         self.leader = leader
         self._leader_name = self.name
-        self._leader_term = mandate.term
+        self._leader_term = leadership.term
         leader.start()
-        self._announce(mandate.term)
+        self._announce(leadership.term)
         return True
 
     def _note(self, view: View) -> None:
--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -204,7 +204,7 @@
         kept = frozenset(flavour.sku for flavour in flavours)
         if kept != self._types_kept:
             # Noted only once it is written: other nodes take no job before they know the types.
-            catalogue.write(self.ctx.store, self.ctx.mandate.fenced(), flavours)
+            catalogue.write(self.ctx.store, self.ctx.leadership.fenced(), flavours)
             self._types_kept = kept
 
     def _list(self) -> None:
@@ -280,7 +280,7 @@
             # what was rented, instead of renting again.
             self.pending_hires[hire.hire] = hire
             result = self.ctx.store.txn(
-                self.ctx.mandate.fenced(), [Put(HIRE_PREFIX + hire.hire, hire)]
+                self.ctx.leadership.fenced(), [Put(HIRE_PREFIX + hire.hire, hire)]
             )
             if not result.ok:
                 self.ctx.lose("fenced")
--- a/src/ryewing/store.py
+++ b/src/ryewing/store.py
@@ -55,18 +55,18 @@
 class Put:
     """A key to be set, with the lease that it hangs on, if any."""
 
-    __slots__ = ("key", "tenancy", "value")
+    __slots__ = ("key", "lease", "value")
 
-    def __init__(self, key: str, value: Any, tenancy: int | None = None) -> None:
+    def __init__(self, key: str, value: Any, lease: int | None = None) -> None:
         self.key = key
         self.value = value
-        self.tenancy = tenancy
+        self.lease = lease
 
     def encode(self) -> dict[str, Any]:
         """Give the form that goes into a transaction."""
         write: dict[str, Any] = {"set": self.key, "data": self.value}
-        if self.tenancy is not None:
-            write["tenancy"] = self.tenancy
+        if self.lease is not None:
+            write["tenancy"] = self.lease
         return write
 
 
@@ -219,18 +219,18 @@
         body = msgspec.json.encode({"ttl_ms": int(ttl_s * 1000)})
         return _decode(self.raw("POST", "/holds", body), HoldAnswer).tenancy
 
-    def renew(self, tenancy: int, deadline_s: float) -> None:
+    def renew(self, lease: int, deadline_s: float) -> None:
         """Renew a lease; raise LeaseLost if it is gone."""
-        reply = self.raw("POST", f"/holds/{tenancy}/renew", b"{}", deadline_s)
+        reply = self.raw("POST", f"/holds/{lease}/renew", b"{}", deadline_s)
         if reply.status == 404:
-            raise LeaseLost(str(tenancy))
+            raise LeaseLost(str(lease))
         if reply.status != 200:
             raise StoreDown(str(reply.status))
 
-    def resign(self, tenancy: int) -> None:
+    def resign(self, lease: int) -> None:
         """End a lease at once."""
         try:
-            self._http.request("DELETE", f"/holds/{tenancy}", None, DEADLINE_S)
+            self._http.request("DELETE", f"/holds/{lease}", None, DEADLINE_S)
         except Unreachable as error:
             raise StoreDown(str(error)) from None
 
--- a/src/ryewing/term.py
+++ b/src/ryewing/term.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 
 from .jobs import Book
-from .leadership import Mandate
+from .leadership import Leadership
 from .picture import Picture
 from .policy import Policy
 from .settings import Settings
@@ -30,16 +30,16 @@
         settings: Settings,
         policy: Policy,
         store: Store,
-        mandate: Mandate,
+        leadership: Leadership,
         on_lost: Callable[[str], None],
         on_flavours: Callable[[dict[str, Flavour]], None],
     ) -> None:
         self.settings = settings
         self.policy = policy
         self.store = store
-        self.mandate = mandate
-        self.term = mandate.term
-        self.authority = mandate.authority
+        self.leadership = leadership
+        self.term = leadership.term
+        self.authority = leadership.authority
         self.book = Book()
         self.stops = Stops()
         self.picture = Picture(self.term, settings.params.workers.lease_s, self.book, self.stops)
--- a/src/ryewing/writer.py
+++ b/src/ryewing/writer.py
@@ -240,7 +240,7 @@
         finals = {JobId(w.key[len(LIVE_PREFIX) :]) for w in chosen if w.key.startswith(LIVE_PREFIX)}
         self.final_pending |= finals
         try:
-            result = self.ctx.store.txn(self.ctx.mandate.fenced(conditions), ops)
+            result = self.ctx.store.txn(self.ctx.leadership.fenced(conditions), ops)
         except Rejected as error:
             self.final_pending -= finals - self._unanswered  # it was certainly not executed
             self._on_rejected(chosen, len(ops), now, error)
@@ -251,7 +251,7 @@
         if result.ok:
             for write in chosen:
                 write.done(result.epoch)
-        elif self.ctx.mandate.lost_by(result):
+        elif self.ctx.leadership.lost_by(result):
             self.ctx.lose("fenced")
             return False
         else:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -59,10 +59,10 @@
         self._ends[lease] = (self._clock() + ttl_s, ttl_s)
         return lease
 
-    def renew(self, tenancy: int, deadline_s: float) -> None:
-        super().renew(tenancy, deadline_s)
-        _, ttl_s = self._ends[tenancy]
-        self._ends[tenancy] = (self._clock() + ttl_s, ttl_s)
+    def renew(self, lease: int, deadline_s: float) -> None:
+        super().renew(lease, deadline_s)
+        _, ttl_s = self._ends[lease]
+        self._ends[lease] = (self._clock() + ttl_s, ttl_s)
 
     def tend(self) -> None:
         """End the leases whose time is over."""
@@ -146,13 +146,13 @@
         self._check()
         return self._store.grant(ttl_s)
 
-    def renew(self, tenancy: int, deadline_s: float) -> None:
+    def renew(self, lease: int, deadline_s: float) -> None:
         self._check()
-        self._store.renew(tenancy, deadline_s)
+        self._store.renew(lease, deadline_s)
 
-    def resign(self, tenancy: int) -> None:
+    def resign(self, lease: int) -> None:
         self._check()
-        self._store.expire(tenancy)
+        self._store.expire(lease)
 
     def watch(self, prefix: str, since: Epoch, wait_s: float) -> ChangeLog:
         self._check()
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import msgspec
-from standins import Clock, FakeCloud, FakeStore, FakeWorker, mandate, policy, run, settings
+from standins import Clock, FakeCloud, FakeStore, FakeWorker, leadership, policy, run, settings
 
 from ryewing.jobs import JobRecord, live_key
 from ryewing.leader import Leader
@@ -53,7 +53,7 @@
     def new_leader(self, term: int, hint: ImageHint | None = None) -> Leader:
         authority = Authority(3.0, policy().hold_s)
         authority.confirm(self.clock())
-        won = mandate(term, authority)
+        won = leadership(term, authority)
         result = self.store.txn({}, [Put(TERM_KEY, {"term": term})])
         won.term_stamp = Stamp(result.epoch)
         leader = Leader(
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -12,7 +12,7 @@
 
 from ryewing.cloud import NoCapacity
 from ryewing.jobs import Job, JobRecord
-from ryewing.leadership import Authority, Mandate
+from ryewing.leadership import Authority, Leadership
 from ryewing.policy import Policy, defaults
 from ryewing.settings import Settings
 from ryewing.store import Compacted, LeaseLost, Put, Rejected, Remove, StoreDown, TxnResult
@@ -182,13 +182,13 @@
         if failed:
             return TxnResult(False, Epoch(self.epoch), frozenset(failed))
         for write in writes:
-            if isinstance(write, Put) and write.tenancy and write.tenancy not in self.leases:
-                raise LeaseLost(str(write.tenancy))
+            if isinstance(write, Put) and write.lease and write.lease not in self.leases:
+                raise LeaseLost(str(write.lease))
         self.epoch += 1
         for write in writes:
             if isinstance(write, Put):
                 value = msgspec.json.encode(write.value)
-                self.data[write.key] = (value, self.epoch, write.tenancy)
+                self.data[write.key] = (value, self.epoch, write.lease)
                 self.log.append(Change(self.epoch, set=write.key, data=msgspec.Raw(value)))
             elif self.data.pop(write.key, None) is not None:
                 self.log.append(Change(self.epoch, remove=write.key))
@@ -202,15 +202,15 @@
         self.leases.add(lease)
         return lease
 
-    def renew(self, tenancy: int, deadline_s: float) -> None:
+    def renew(self, lease: int, deadline_s: float) -> None:
         self._check()
-        if tenancy not in self.leases:
-            raise LeaseLost(str(tenancy))
+        if lease not in self.leases:
+            raise LeaseLost(str(lease))
 
-    def expire(self, tenancy: int) -> None:
+    def expire(self, lease: int) -> None:
         """End a lease, as its time would."""
-        self.leases.discard(tenancy)
-        for key in [k for k, v in self.data.items() if v[2] == tenancy]:
+        self.leases.discard(lease)
+        for key in [k for k, v in self.data.items() if v[2] == lease]:
             del self.data[key]
             self.epoch += 1
             self.log.append(Change(self.epoch, remove=key))
@@ -312,8 +312,8 @@
                 self.pieces[key] = ReportedPiece(piece.piece, piece.attempt, "ended", cause)
 
 
-def mandate(term: int = 5, authority: Authority | None = None) -> Mandate:
+def leadership(term: int = 5, authority: Authority | None = None) -> Leadership:
     """Make a won term whose lease was confirmed just now."""
     if authority is None:
         authority = Authority(3.0, 15.0)
-    return Mandate(Term(term), Stamp(0), 1, authority)
+    return Leadership(Term(term), Stamp(0), 1, authority)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -665,7 +665,7 @@
     assert first.term == 6
     again = read_view(store)
     assert again.holder is not None and again.holder.node == "n-0"
-    stage.store.expire(first.tenancy)
+    stage.store.expire(first.lease)
     third = campaign(store, read_view(store), NodeName("n-1"), "b1", 3.0, 15.0)
     assert third is not None and third.term == 7
 
