What the store holds and can't be read is said in the log, and ends no term or process

One garbage value under j/, d/, m/, h/, flavours/, lead/ ended each leader's term with a fault, or the process that read lead/. Users get 503 for such a job, since others may know it.

--- a/src/ryewing/api.py
+++ b/src/ryewing/api.py
@@ -11,7 +11,7 @@
 import re
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import gevent
 import msgspec
@@ -28,16 +28,18 @@
     impossible,
     kept_bytes,
     live_key,
+    read_record,
 )
-from .store import Put, Rejected, StoreDown, Throttled
+from .store import Put, Rejected, StoreDown, Throttled, readable
 from .units import JobId, Stamp, Steady, is_job_id, steady_now, wall_now
-from .wire import BODY_LIMIT, Malformed, RunStatus, read_object, read_report, read_run
+from .wire import BODY_LIMIT, Entry, Malformed, RunStatus, read_object, read_report, read_run
 
 if TYPE_CHECKING:
     from .node import Node
 
 log = logging.getLogger("ryewing.api")
 Headers = list[tuple[str, str]]
+T = TypeVar("T")
 StartResponse = Callable[[str, Headers], object]
 
 FINALS_KEPT = 20_000
@@ -282,7 +284,7 @@
         try:
             live = self._read(live_key(job))
             if live is not None:
-                record = msgspec.json.decode(live.data, type=JobRecord)
+                record = self._understood(read_record(live.data, live.k))
                 return self._cancelled(job) if record.cancelled else RunStatus(job, "queued")
             # In this order: a job moves from one key to the other, never back.
             final = self._read(final_key(job))
@@ -290,7 +292,7 @@
             raise self._busy("the state service can't be reached") from None
         if final is None:
             return None
-        status = msgspec.json.decode(final.data, type=FinalRecord).status
+        status = self._understood(readable(final.data, FinalRecord, final.k)).status
         self._node.finals.put(job, status)
         return RunStatus(job, status)
 
@@ -308,7 +310,13 @@
         self._node.finals.put(job, CANCELLED)
         return RunStatus(job, CANCELLED)
 
-    def _read(self, key: str) -> Any:
+    def _understood(self, record: T | None) -> T:
+        """Leave with 503 if what the store has can't be read: the job may be known to others."""
+        if record is None:
+            raise self._busy("the record can't be read")
+        return record
+
+    def _read(self, key: str) -> Entry | None:
         if self._reads >= STORE_READS_AT_ONCE:
             raise self._busy("too many requests at once")
         self._reads += 1
@@ -332,7 +340,7 @@
                     if state.status in (DONE, CANCELLED):
                         return self._told(state)
                     continue
-                record = msgspec.json.decode(entry.data, type=JobRecord)
+                record = self._understood(read_record(entry.data, entry.k))
                 if not record.cancelled:
                     limit = self._node.store.limits.value_kb * 1024
                     record = cancel_mark(record, wall_now(), limit)
--- a/src/ryewing/catalogue.py
+++ b/src/ryewing/catalogue.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .store import Put, Rejected, Remove, Store
+from .store import Put, Rejected, Remove, Store, readable
 from .units import Stamp
 from .wire import Flavour, FlavourList
 
@@ -26,7 +26,8 @@
     entries, _ = store.listing(KEY)
     found: dict[str, Flavour] = {}
     for entry in entries:
-        for flavour in msgspec.json.decode(entry.data, type=FlavourList).flavours:
+        kept = readable(entry.data, FlavourList, entry.k)
+        for flavour in kept.flavours if kept is not None else ():
             found[flavour.sku] = flavour
     return list(found.values())
 
--- a/src/ryewing/intake.py
+++ b/src/ryewing/intake.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from .dispatch import Dispatch
-from .jobs import LIVE_PREFIX, Job, JobRecord
+from .jobs import LIVE_PREFIX, Job, JobRecord, read_record
 from .store import Compacted, StoreDown
 from .term import TermContext
 from .units import Epoch, JobId, Stamp, Steady, steady_now
@@ -90,7 +90,7 @@
         changes = self.ctx.store.watch(LIVE_PREFIX, self.epoch, WATCH_S)
         for change in changes.log:
             if change.set is not None:
-                self.job_set(change.data, Stamp(change.stamp))
+                self.job_set(change.set, change.data, Stamp(change.stamp))
             elif change.remove is not None:
                 self._job_removed(JobId(change.remove[len(LIVE_PREFIX) :]))
         self.epoch = Epoch(max(self.epoch, changes.epoch))
@@ -104,9 +104,11 @@
         # Whatever came while this was under way, the next one is asked after that.
         self._cancelled_early.clear()
 
-    def job_set(self, data: msgspec.Raw, stamp: Stamp) -> None:
+    def job_set(self, key: str, data: msgspec.Raw, stamp: Stamp) -> None:
         """Take in a job's record, if it is newer than what is known."""
-        record = msgspec.json.decode(data, type=JobRecord)
+        record = read_record(data, key)
+        if record is None:
+            return
         known = self.ctx.book.get(JobId(record.run.ref))
         if known is not None and stamp <= known.stamp:
             return
@@ -138,7 +140,7 @@
         there = set()
         for entry in entries:
             there.add(JobId(entry.k[len(LIVE_PREFIX) :]))
-            self.job_set(entry.data, Stamp(entry.stamp))
+            self.job_set(entry.k, entry.data, Stamp(entry.stamp))
         for job_id in list(self.ctx.book.jobs):
             if job_id not in there and self.ctx.book.jobs[job_id].stamp <= epoch:
                 self._job_removed(job_id)
--- a/src/ryewing/jobs.py
+++ b/src/ryewing/jobs.py
@@ -10,6 +10,7 @@
 
 import base64
 import binascii
+import logging
 import math
 from collections import Counter
 from collections.abc import Iterator
@@ -17,8 +18,11 @@
 import msgspec
 
 from .settings import Team
+from .store import readable
 from .units import JobId, MachineId, Stamp, Steady, WallTime, Zone
-from .wire import DAEMON, GROUP, RANKS, Flavour, Run, RunStatus
+from .wire import DAEMON, GROUP, MAX_TASKS, RANKS, Flavour, Run, RunStatus
+
+log = logging.getLogger("ryewing.jobs")
 
 LIVE_PREFIX = "j/"
 DONE_PREFIX = "d/"
@@ -47,6 +51,18 @@
     status: str
 
 
+def read_record(data: bytes | msgspec.Raw, key: str) -> JobRecord | None:
+    """Read the record of a live job; None if it can't be understood."""
+    record = readable(data, JobRecord, key)
+    if record is None:
+        return None
+    run = record.run
+    if key != live_key(JobId(run.ref)) or run.rank not in RANKS or not 1 <= run.pieces <= MAX_TASKS:
+        log.error("event=unreadable key=%s error=not a job", key)
+        return None
+    return record
+
+
 def kept_bytes(record: JobRecord) -> int:
     """Tell how large a value keeping a job takes: its record, or that of its finished tasks."""
     finishes = 0
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -16,14 +16,14 @@
 
 from .dispatch import Dispatch
 from .intake import Intake
-from .jobs import DONE_PREFIX, LIVE_PREFIX, JobRecord
+from .jobs import DONE_PREFIX, LIVE_PREFIX, read_record
 from .leadership import Leadership
 from .mesh import ImageHint
 from .placer import Placer
 from .policy import Policy
 from .renter import HIRE_PREFIX, Renter
 from .settings import Settings
-from .store import LeaseLost, Store, StoreDown
+from .store import LeaseLost, Store, StoreDown, readable
 from .term import TermContext
 from .units import DRIFT, JobId, MachineId, Stamp, Steady, Term, Zone, steady_now
 from .wire import Flavour, Hire, Report, ReportAnswer, RunStatus
@@ -89,8 +89,8 @@
         """Tell what a successor should know of the machines' images."""
         return ImageHint(int(self.term), *self.ctx.picture.images())
 
-    def _on_record(self, data: msgspec.Raw, stamp: Stamp) -> None:
-        self.intake.job_set(data, stamp)
+    def _on_record(self, key: str, data: msgspec.Raw, stamp: Stamp) -> None:
+        self.intake.job_set(key, data, stamp)
 
     # -- life -------------------------------------------------------------------------------
 
@@ -178,8 +178,9 @@
             self.ctx.take_flavours(types)
         jobs, self.intake.epoch = self.ctx.store.listing(LIVE_PREFIX)
         for entry in jobs:
-            record = msgspec.json.decode(entry.data, type=JobRecord)
-            self.intake.put(record, Stamp(entry.stamp), inherited=True)
+            record = read_record(entry.data, entry.k)
+            if record is not None:
+                self.intake.put(record, Stamp(entry.stamp), inherited=True)
         self.ctx.authority.follow(now)
         finished, _ = self.ctx.store.listing(DONE_PREFIX)
         finishes = self.writer.finishes
@@ -187,15 +188,16 @@
         for record_name, bits in records:
             name, _, chunk = record_name.rpartition("/")
             job = self.ctx.book.get(JobId(name))
-            if job is None or job.endless:
+            text = readable(bits, str, record_name) if chunk.isdecimal() else None
+            if job is None or job.endless or text is None:
                 finishes.drop(record_name)
             else:
-                job.load_chunk(int(chunk), msgspec.json.decode(bits, type=str))
+                job.load_chunk(int(chunk), text)
                 self.ctx.book.touch(job)
         for record_name in twice:
             name, _, chunk = record_name.rpartition("/")
             job = self.ctx.book.get(JobId(name))
-            if job is not None and not job.endless:
+            if job is not None and not job.endless and chunk.isdecimal():
                 finishes.put(record_name, job.chunk_text(int(chunk)))
         # Whoever led before may have answered workers until its hold ended, and the last of
         # these answers is good for one lease.
@@ -204,7 +206,9 @@
         machines, _ = self.ctx.store.listing(MACHINE_PREFIX)
         records, twice = self.writer.machines.load(machines)
         for id_, raw in records:
-            kept = msgspec.json.decode(raw, type=MachineRecord)
+            kept = readable(raw, MachineRecord, MACHINE_PREFIX + id_)
+            if kept is None:
+                continue
             machine = self.ctx.picture.add(
                 MachineId(id_), self.ctx.flavour(kept.flavour), Zone(kept.site), kept.loaner, now
             )
@@ -217,8 +221,9 @@
             self.ctx.picture.recall_images(self._hint.images, self._hint.machines)
         hires, _ = self.ctx.store.listing(HIRE_PREFIX)
         for entry in hires:
-            hire = msgspec.json.decode(entry.data, type=Hire)
-            self.renter.pending_hires[hire.hire] = hire
+            hire = readable(entry.data, Hire, entry.k)
+            if hire is not None:
+                self.renter.pending_hires[hire.hire] = hire
 
     def _tend_loop(self) -> None:
         """Leases that end, and stops that must be sent again."""
--- a/src/ryewing/leadership.py
+++ b/src/ryewing/leadership.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .store import LeaseLost, Put, Store, StoreDown, Throttled, TxnResult
+from .store import LeaseLost, Put, Store, StoreDown, Throttled, TxnResult, readable
 from .units import DRIFT, Epoch, NodeName, Stamp, Steady, Term, steady_now
 
 HOLDER_KEY = "lead/holder"
@@ -107,10 +107,14 @@
     view = View(None, Stamp(0), Term(0), Stamp(0), epoch)
     for entry in entries:
         if entry.k == HOLDER_KEY:
-            view.holder = msgspec.json.decode(entry.data, type=Holder)
+            # Somebody holds the lease, whoever it is: it is waited for.
+            view.holder = readable(entry.data, Holder, entry.k) or Holder("", "", 0)
             view.holder_stamp = Stamp(entry.stamp)
         elif entry.k == TERM_KEY:
-            view.term = Term(msgspec.json.decode(entry.data, type=TermRecord).term)
+            record = readable(entry.data, TermRecord, entry.k)
+            if record is None:
+                raise StoreDown("the term can't be read")  # a lower one would never be heeded
+            view.term = Term(record.term)
             view.term_stamp = Stamp(entry.stamp)
     return view
 
--- a/src/ryewing/mesh.py
+++ b/src/ryewing/mesh.py
@@ -179,7 +179,9 @@
                 with gevent.Timeout(IDLE_S, TimeoutError("idle")):
                     frame = _read_frame(sock)
                 _write_frame(sock, self._handler(_ask_decoder.decode(frame)))
-        except (OSError, EOFError, msgspec.DecodeError):
+        except msgspec.DecodeError as error:
+            log.warning("event=unreadable-frame error=%s", error)
+        except (OSError, EOFError):
             pass
         finally:
             sock.close()
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -7,7 +7,6 @@
 from collections import OrderedDict
 
 import gevent
-import msgspec
 
 from . import __version__, catalogue
 from .api import Api, ApiServer, Finals
@@ -42,7 +41,7 @@
 )
 from .policy import Policy
 from .settings import Settings, parse_address
-from .store import Compacted, Store, StoreDown
+from .store import Compacted, Store, StoreDown, readable
 from .transport import Reply
 from .units import Epoch, JobId, NodeName, Steady, Term, steady_now
 from .wire import Entry, Flavour, RunStatus
@@ -299,7 +298,9 @@
         return known
 
     def _holder_knows(self, entry: Entry, job: JobId) -> bool:
-        holder = msgspec.json.decode(entry.data, type=Holder)
+        holder = readable(entry.data, Holder, entry.k)
+        if holder is None:
+            return False
         if holder.node == self.name:
             return self.leader is None or self.leader.take_cancel(job)
         peer = self._peers.get(holder.node)
--- a/src/ryewing/packed.py
+++ b/src/ryewing/packed.py
@@ -18,14 +18,17 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable, Iterator
 
 import msgspec
 
-from .store import Put
+from .store import Put, readable
 from .units import Epoch, Stamp
 from .wire import Entry
 
+log = logging.getLogger("ryewing.packed")
+
 FILL = 0.6
 """How full a value may get by new records. The rest is for those in it that grow."""
 FULL = 0.95
@@ -85,6 +88,9 @@
         found: list[tuple[str, msgspec.Raw]] = []
         twice: set[str] = set()
         for entry in sorted(entries, key=lambda entry: entry.stamp):
+            if not entry.k[len(self._prefix) :].isdecimal():
+                log.error("event=unreadable key=%s error=no number", entry.k)
+                continue
             number = int(entry.k[len(self._prefix) :])
             records = {name: msgspec.Raw(bytes(record)) for name, record in _records(entry).items()}
             self._there[number] = frozenset(records)
@@ -235,4 +241,4 @@
 
 
 def _records(entry: Entry) -> dict[str, msgspec.Raw]:
-    return msgspec.json.decode(entry.data, type=dict[str, msgspec.Raw])
+    return readable(entry.data, dict[str, msgspec.Raw], entry.k) or {}
--- a/src/ryewing/store.py
+++ b/src/ryewing/store.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, TypeVar
 from urllib.parse import quote
@@ -18,6 +19,8 @@
 from .units import Epoch, Stamp
 from .wire import ChangeLog, Entry, EntryPage, HoldAnswer, TxnAnswer
 
+log = logging.getLogger("ryewing.store")
+
 DEADLINE_S = 1.0
 DIRECT_S = 0.5
 """How long the store is waited for where a peer can be asked next, so that a user is told within a
@@ -211,7 +214,10 @@
             raise Rejected(f"400: {reply.body[:200]!r}")
         if reply.status not in (200, 409):
             raise StoreDown(f"{reply.status}: {reply.body[:200]!r}")
-        answer = msgspec.json.decode(reply.body, type=TxnAnswer)
+        try:
+            answer = msgspec.json.decode(reply.body, type=TxnAnswer)
+        except msgspec.DecodeError as error:
+            raise StoreDown(f"unreadable answer: {error}") from None
         return TxnResult(reply.status == 200, Epoch(answer.epoch), frozenset(answer.failed))
 
     def grant(self, ttl_s: float) -> int:
@@ -248,6 +254,18 @@
         return _decode(reply, ChangeLog)
 
 
+def readable(data: bytes | msgspec.Raw, kind: type[T], key: str) -> T | None:
+    """Decode what the store holds under a key; None, and a line in the log, if it can't be read.
+
+    One value that can't be read must not end a term or a process: the next one would meet it too.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        log.error("event=unreadable key=%s error=%s", key, error)
+        return None
+
+
 def _decode(reply: Reply, kind: type[T]) -> T:
     if reply.status != 200:
         raise StoreDown(f"{reply.status}: {reply.body[:200]!r}")
--- a/src/ryewing/writer.py
+++ b/src/ryewing/writer.py
@@ -20,6 +20,7 @@
     DONE,
     DONE_PREFIX,
     LIVE_PREFIX,
+    FinalRecord,
     Job,
     done_name,
     final_key,
@@ -27,7 +28,7 @@
 )
 from .packed import Packed
 from .picture import Machine
-from .store import Put, Rejected, Remove, StoreDown
+from .store import Put, Rejected, Remove, StoreDown, readable
 from .term import TermContext
 from .units import Epoch, JobId, MachineId, Stamp, Steady, steady_now
 
@@ -87,7 +88,7 @@
         self,
         ctx: TermContext,
         on_final: Callable[[JobId, str], None],
-        on_record: Callable[[msgspec.Raw, Stamp], None],
+        on_record: Callable[[str, msgspec.Raw, Stamp], None],
     ) -> None:
         self.ctx = ctx
         # No notice comes of limits that fall: what is written keeps to the stricter ones.
@@ -290,12 +291,13 @@
         """A final write met another version: a cancel won, or an earlier try was applied."""
         entry = self.ctx.store.get(live_key(job.id))
         if entry is not None:
-            self._on_record(entry.data, Stamp(entry.stamp))
+            self._on_record(entry.k, entry.data, Stamp(entry.stamp))
             return
         final = self.ctx.store.get(final_key(job.id))
         if final is not None:
-            status = msgspec.json.decode(final.data, type=dict[str, str])["status"]
-            self._finalised(job, status)
+            record = readable(final.data, FinalRecord, final.k)
+            if record is not None:
+                self._finalised(job, record.status)
 
     def settled(self, job: Job) -> None:
         """The store has no live record of the job any more."""
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -38,7 +38,7 @@
 from ryewing.settings import Settings
 from ryewing.store import Put, Remove, StoreDown, TxnResult
 from ryewing.units import Epoch, MachineId, Stamp, Token, is_job_id, parse_task
-from ryewing.wire import ChangeLog, Entry, FlavourList, Order, Report
+from ryewing.wire import Change, ChangeLog, Entry, FlavourList, Order, Report
 from ryewing.workers import WorkerSilent
 
 STEP_S = 0.25
@@ -64,6 +64,12 @@
         _, ttl_s = self._ends[lease]
         self._ends[lease] = (self._clock() + ttl_s, ttl_s)
 
+    def plant(self, key: str, data: bytes, lease: int | None = None) -> None:
+        """Put something there that no controller wrote."""
+        self.epoch += 1
+        self.data[key] = (data, self.epoch, lease)
+        self.log.append(Change(self.epoch, set=key, data=msgspec.Raw(data)))
+
     def tend(self) -> None:
         """End the leases whose time is over."""
         now = self._clock()
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -98,7 +98,7 @@
         result = self.store.txn({}, [Put(live_key(JobId(ref)), record)])
         entry = self.store.get(live_key(JobId(ref)))
         assert entry is not None
-        self.leader.intake.job_set(entry.data, Stamp(result.epoch))
+        self.leader.intake.job_set(entry.k, entry.data, Stamp(result.epoch))
         return JobId(ref)
 
     def worker(self, name: str = "i-000001", **kind: Any) -> FakeWorker:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -293,7 +293,7 @@
     stage.store.txn({}, [Put(live_key(job), record)])
     entry = stage.store.get(live_key(job))
     assert entry is not None
-    stage.leader.intake.job_set(entry.data, Stamp(entry.stamp))
+    stage.leader.intake.job_set(entry.k, entry.data, Stamp(entry.stamp))
     assert verbs(stage.exchange(worker)) == ["halt"] * 8
     stage.exchange(worker)
     stage.place()
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -8,12 +8,14 @@
 
 import copy
 from collections.abc import Callable, Iterator
+from typing import Any
 
 import msgspec
 import pytest
 from cluster import NAMES, Cluster, TimedWorker
-from standins import Clock
+from standins import Clock, run
 
+from ryewing.jobs import JobRecord
 from ryewing.store import Put
 from ryewing.units import Epoch
 from ryewing.wire import ReportedPiece
@@ -675,6 +677,58 @@
     assert cluster.verdict() == []
 
 
+@pytest.mark.parametrize("garbage", [b"null", b"[]", b"{", b'{"run":3}', b"\xff", b'{"1":[]}'])
+@pytest.mark.parametrize(
+    "key", ["j/run-9", "d/7", "d/x", "m/7", "m/x", "h/r-1-1", "flavours/3", "f/run-9"]
+)
+def test_what_cannot_be_read_ends_no_term(cluster: Cluster, key: str, garbage: bytes) -> None:
+    """One value of the store is garbage: all else is served, also by the next leader."""
+    worker = running(cluster)
+    cluster.store.plant(key, garbage)
+    cluster.run(2.0)
+    cluster.dead.add("n-0")
+    cluster.run(8.0)
+    cluster.ask_all()
+    for name in ("n-1", "n-2"):
+        if key in ("j/run-9", "f/run-9"):
+            assert cluster.poll(name, "run-9") == 503
+            assert cluster.cancel(name, "run-9") == 503
+    cluster.end(worker)
+    cluster.run(4.0)
+    cluster.ask_all()
+    assert cluster.referee.final == {"run-1": "done"}
+    assert cluster.verdict() == []
+
+
+def test_a_job_that_makes_no_sense_is_left_alone(cluster: Cluster) -> None:
+    """It reads as a record, and is not one of ours."""
+    serving(cluster)
+    for number, changes in enumerate(
+        ({"rank": "vip"}, {"pieces": 0}, {"pieces": 10**9}, {"ref": "run-77"}), 1
+    ):
+        fields: dict[str, Any] = {"ref": f"run-{number}", **changes}
+        record = JobRecord(run(**fields), 0.0)
+        cluster.store.plant(f"j/run-{number}", msgspec.json.encode(record))
+    cluster.run(2.0)
+    leader = cluster.nodes["n-0"].leader
+    assert leader is not None and not leader.ctx.book.jobs
+    assert cluster.submit("n-1", "run-5") == 201
+
+
+@pytest.mark.parametrize("key", ["lead/holder", "lead/term"])
+def test_an_unreadable_leadership_is_waited_for(cluster: Cluster, key: str) -> None:
+    """Nobody takes over from somebody unknown, or under a term that may be too low."""
+    serving(cluster)
+    holder = cluster.store.data["lead/holder"]
+    cluster.store.plant(key, b"[1]", holder[2] if key == "lead/holder" else None)
+    cluster.dead.add("n-0")
+    cluster.run(1.0)
+    assert all(cluster.nodes[name].leader is None for name in ("n-1", "n-2"))
+    cluster.run(6.0)
+    led = any(cluster.nodes[name].leader is not None for name in ("n-1", "n-2"))
+    assert led is (key == "lead/holder")  # its lease has ended
+
+
 def test_single_tasks_four_a_second_at_the_lowest_write_rate(cluster: Cluster) -> None:
     """A quarter is cancelled. Each job's end is one write; none is late, and none waits."""
     cluster.state_limits = {"write_rps": 15.0}
