--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -703,11 +703,14 @@
 def test_a_job_that_makes_no_sense_is_left_alone(cluster: Cluster) -> None:
     """It reads as a record, and is not one of ours."""
     serving(cluster)
-    for number, changes in enumerate(
-        ({"rank": "vip"}, {"pieces": 0}, {"pieces": 10**9}, {"ref": "run-77"}), 1
-    ):
-        fields: dict[str, Any] = {"ref": f"run-{number}", **changes}
-        record = JobRecord(run(**fields), 0.0)
+    senseless: list[dict[str, Any]] = [
+        {"rank": "vip"},
+        {"pieces": 0},
+        {"pieces": 10**9},
+        {"ref": "run-77"},
+    ]
+    for number, changes in enumerate(senseless, 1):
+        record = JobRecord(run(**{"ref": f"run-{number}", **changes}), 0.0)
         cluster.store.plant(f"j/run-{number}", msgspec.json.encode(record))
     cluster.run(2.0)
     leader = cluster.nodes["n-0"].leader
