--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -33,6 +33,9 @@
 
 TELL_EVERY_S = 10.0
 CUT = "cut-from-workers"
+UNFOLLOWED = "jobs-not-followed"
+UNFOLLOWED_S = 15.0
+"""A leader whose lease is renewed and that can't read the jobs for so long resigns."""
 CUT_MACHINES = 4
 CUT_SHARE = 0.7
 """A leader that hears fewer of its machines than the rest of this share resigns."""
@@ -143,8 +146,21 @@
             self.ctx.place.set()
             self.ctx.write.set()
         self.ctx.authority.confirm(sent_at)
+        since = max(self.ctx.authority.followed_at or self.ctx.began, self.ctx.began)
+        if self.ctx.settings.members and sent_at - since > UNFOLLOWED_S:
+            # It keeps the lease and may do nothing with it: another node may be able to read.
+            self._resign(UNFOLLOWED)
         return True
 
+    def _resign(self, why: str) -> None:
+        """Leave leadership to another node. Authority ends before the lease does: the end of that
+        may be made known late."""
+        self.ctx.lose(why)
+        try:
+            self.ctx.store.resign(self.ctx.leadership.lease)
+        except StoreDown as error:
+            log.debug("event=resign-failed error=%s", error)
+
     def _begin(self) -> None:
         while True:
             try:
@@ -249,12 +265,7 @@
         self.dispatch.probe(now)
         if self.ctx.settings.members and self.placer.gathered and self.cut_from_workers(now):
             # Another node may reach them; waiting for it costs every machine its tasks.
-            # Authority ends before the lease does: its end may be made known late.
-            self.ctx.lose(CUT)
-            try:
-                self.ctx.store.resign(self.ctx.leadership.lease)
-            except StoreDown as error:
-                log.debug("event=resign-failed error=%s", error)
+            self._resign(CUT)
 
     def cut_from_workers(self, now: Steady) -> bool:
         """Tell whether most machines fell silent at once, so that the fault is likely here."""
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -12,7 +12,7 @@
 from .api import Api, ApiServer, Finals
 from .budget import Budget
 from .jobs import CANCELLED, DONE
-from .leader import CUT, Leader
+from .leader import CUT, UNFOLLOWED, Leader
 from .leadership import (
     HOLDER_KEY,
     PREFIX,
@@ -62,7 +62,7 @@
 HINT_EVERY_S = 5.0
 """How often the leader tells the others which machines have which images."""
 ABSTAIN_S = 15.0
-"""How long a node that was cut from the workers leaves leadership to the others."""
+"""How long a node that resigned leaves leadership to the others."""
 
 
 class Node:
@@ -194,7 +194,7 @@
         log.info("event=stepped-down node=%s term=%d why=%s", self.name, leader.term, why)
         self.leader = None
         self._leader_name = None
-        if why == CUT:
+        if why in (CUT, UNFOLLOWED):
             self._abstain_until = Steady(steady_now() + ABSTAIN_S)
         leader.stop()
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -209,6 +209,17 @@
     assert cluster.referee.final == {"run-1": "cancelled"}, "never answered"
 
 
+def a_leader_that_can_renew_but_not_follow(cluster: Cluster) -> None:
+    """It may do nothing, and keeps others from it: it must make room."""
+    serving(cluster)
+    cluster.links["n-0"].mute_watch = True
+    cluster.run(5.0)
+    assert cluster.submit("n-1") == 201
+    cluster.run(30.0)
+    assert cluster.leader_name != "n-0"
+    assert cluster.workers["i-000001"].pieces
+
+
 def cancelled_by_a_clock_that_is_ahead(cluster: Cluster) -> None:
     """The cancel's time of writing is long past: its transaction was carried out late."""
     running(cluster)
@@ -648,6 +659,7 @@
     cancelled_as_a_poll_finds_it,
     cancelled_as_a_repeated_submission_finds_it,
     cancelled_while_the_leader_renews_but_hears_no_changes,
+    a_leader_that_can_renew_but_not_follow,
     cancelled_by_a_clock_that_is_ahead,
     cancelled_on_its_way_while_a_poll_waits,
     cancelled_in_the_moment_of_the_take_over,
