--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -24,6 +24,7 @@
     FakeStore,
     FakeWorker,
     run,
+    settings,
     submission,
 )
 
@@ -367,7 +368,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.settings = msgspec.convert(RAW_SETTINGS, Settings)
+        self.settings = settings()
         self.store = TimedStore(clock)
         self.cloud = FakeCloud()
         self.cloud.release = self._release  # type: ignore[method-assign]
@@ -400,8 +401,8 @@
         params = {**RAW_SETTINGS["params"]}
         params["state"] = {**params["state"], **self.state_limits}
         raw = {**RAW_SETTINGS, "node": name, "members": members, "params": params}
-        settings = msgspec.convert(raw, Settings)
-        node = Node(settings, defaults(settings))
+        own = msgspec.convert(raw, Settings)
+        node = Node(own, defaults(own))
         link = StoreLink(self.store)
         node.store = link  # type: ignore[assignment]
         for other in NAMES:
@@ -516,10 +517,6 @@
         leading = [(n.leader.term, name) for name, n in self.nodes.items() if n.leader is not None]
         return max(leading, default=(0, NAMES[0]))[1]
 
-    def follower(self) -> str:
-        """A controller that does not lead."""
-        return next(name for name, node in self.nodes.items() if node.leader is None)
-
     def worker(self, name: str = "i-000001", **kind: Any) -> TimedWorker:
         """Put up a machine."""
         self.workers[name] = TimedWorker(self, name, **kind)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import copy
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
 import pytest
 from cluster import NAMES, Cluster, TimedWorker
-from standins import Clock, run
+from standins import run
 
 from ryewing.jobs import JobRecord
 from ryewing.store import Put
@@ -23,30 +23,6 @@
 Course = Callable[[Cluster], None]
 
 
-@pytest.fixture
-def cluster(monkeypatch: pytest.MonkeyPatch) -> Iterator[Cluster]:
-    clock = Clock()
-    for part in (
-        "api",
-        "budget",
-        "dispatch",
-        "intake",
-        "leader",
-        "leadership",
-        "node",
-        "placer",
-        "renter",
-        "term",
-        "writer",
-    ):
-        monkeypatch.setattr(f"ryewing.{part}.steady_now", clock)
-    for part in ("api", "placer"):
-        monkeypatch.setattr(f"ryewing.{part}.wall_now", clock)
-    monkeypatch.setattr("ryewing.leader.Leader.start", lambda leader: None)
-    monkeypatch.setattr("gevent.sleep", lambda _seconds: None)
-    yield Cluster(clock)
-
-
 def serving(cluster: Cluster, machines: int = 1) -> TimedWorker:
     """Bring up a leader and machines that may be given work."""
     for number in range(1, machines + 1):
