Users' requests get a bounded share of the state service's rate

Cause: where no leader answers, a user's question reads the store.

Change: `user_quota`: half of state.rps for what users cause, in equal parts for all controllers. Questions leave half of the burst to submissions and cancels. The part halves, down to a quarter, while the store refuses requests without changes, and comes back in 10 s. What is beyond it gets 503 at once, with the time until there is room as its Retry-After. A request is judged at its first access only; the rest of it is counted. A cancel's body is split into steps by the way.

--- a/src/ryewing/api.py
+++ b/src/ryewing/api.py
@@ -29,8 +29,16 @@
     live_key,
     read_record,
 )
-from .store import Put, RejectedError, StoreUnavailableError, ThrottledError, readable
+from .store import (
+    Put,
+    RejectedError,
+    StoreUnavailableError,
+    ThrottledError,
+    TxnResult,
+    readable,
+)
 from .units import JobId, KeyVersion, Steady, is_job_id, steady_now, wall_now
+from .user_quota import QuotaExceededError, UserRequest
 from .wire import (
     BODY_LIMIT,
     Entry,
@@ -51,6 +59,7 @@
 FINALS_KEPT = 20_000
 SUBMITS_AT_ONCE = 64
 STORE_READS_AT_ONCE = 24
+CANCEL_TRIES = 4
 BODY_S = 5.0
 FULL_RETRY_S = 30.0
 TOO_LARGE = "too large to be kept"
@@ -109,6 +118,9 @@
             response = self._route(environ)
         except RefusedError as refused:
             response = refused.response
+        except QuotaExceededError as exceeded:
+            retry_s = max(self._node.policy.retry_after_s, exceeded.retry_s)
+            response = self._busy("too many requests for the state service", retry_s)
         except Exception:
             log.exception("event=request-failed path=%s", environ.get("PATH_INFO"))
             response = self._busy("internal error")
@@ -229,8 +241,9 @@
         writes = [Put(live_key(job), record)]
         until = Steady(steady_now() + 0.6)
         while True:
+            self._node.user_quota.admit(UserRequest.CHANGE)
             try:
-                result = self._node.store.txn(conditions, writes)
+                result = self._txn(conditions, writes)
                 break
             except ThrottledError:
                 if steady_now() >= until:
@@ -257,7 +270,7 @@
             )
             if self._node.finals.get(job) is None:
                 return Response(201, JobStatus(job, "queued"))
-        state = self._from_store(job)
+        state = self._read_state(job)
         if state is None:
             return self._busy("changed just now")
         return self._with_final_state(state)
@@ -284,6 +297,11 @@
         return leader.poll(job) if leader is not None else None
 
     def _from_store(self, job: JobId) -> JobStatus | None:
+        """Answer a question by the store, if that may be asked now."""
+        self._node.user_quota.admit(UserRequest.QUESTION)
+        return self._read_state(job)
+
+    def _read_state(self, job: JobId) -> JobStatus | None:
         """Read a job's state; None if it was never accepted. Leaves with 503 if it can't."""
         try:
             live = self._read(live_key(job))
@@ -324,50 +342,59 @@
         if self._reads >= STORE_READS_AT_ONCE:
             raise RefusedError(self._busy("too many requests at once"))
         self._reads += 1
+        self._node.user_quota.charge()
         try:
             return self._node.store.get(key)
         finally:
             self._reads -= 1
 
+    def _txn(self, conditions: dict[str, KeyVersion], writes: list[Put]) -> TxnResult:
+        self._node.user_quota.charge()
+        return self._node.store.txn(conditions, writes)
+
     def _cancel(self, job: JobId) -> Response:
         """Mark the job cancelled, unless it is done; answer once nobody can say otherwise."""
-        for _ in range(4):
+        if self._node.finals.get(job) is None:
+            self._node.user_quota.admit(UserRequest.CHANGE)
+        for _ in range(CANCEL_TRIES):
             final = self._node.finals.get(job)
             if final is not None:
                 return Response(200, JobStatus(job, final))
             try:
-                entry = self._read(live_key(job))
-                if entry is None:
-                    state = self._from_store(job)
-                    if state is None:
-                        return Response(404, {"error": "no such job"})
-                    if state.status in (DONE, CANCELLED):
-                        return self._with_final_state(state)
-                    continue
-                record = self._readable(read_record(entry.data, entry.key))
-                if not record.cancelled:
-                    limit = self._node.store.limits.value_kb * 1024
-                    record = cancel_mark(record, wall_now(), limit)
-                    write = Put(live_key(job), record)
-                    try:
-                        result = self._node.store.txn(
-                            {write.key: KeyVersion(entry.key_version)}, [write]
-                        )
-                    except RejectedError as error:
-                        # The store takes less than the settings say.
-                        log.error("event=cancel-rejected job=%s error=%s", job, error)
-                        write.value = record = cancel_mark(record, wall_now(), 0)
-                        result = self._node.store.txn(
-                            {write.key: KeyVersion(entry.key_version)}, [write]
-                        )
-                    if not result.ok:
-                        continue
-                    log.info("event=cancel-accepted job=%s", job)
-                return Response(200, self._cancelled(job))
+                response = self._try_cancel(job)
             except StoreUnavailableError:
                 return self._busy("the state service can't be reached")
+            if response is not None:
+                return response
         return self._busy("changed just now")
 
+    def _try_cancel(self, job: JobId) -> Response | None:
+        """Write the mark on the record as it is now; None if it has changed meanwhile."""
+        entry = self._read(live_key(job))
+        if entry is None:
+            state = self._read_state(job)
+            if state is None:
+                return Response(404, {"error": "no such job"})
+            if state.status in (DONE, CANCELLED):
+                return self._with_final_state(state)
+            return None
+        record = self._readable(read_record(entry.data, entry.key))
+        if not record.cancelled:
+            if not self._write_mark(entry, record).ok:
+                return None
+            log.info("event=cancel-accepted job=%s", job)
+        return Response(200, self._cancelled(job))
+
+    def _write_mark(self, entry: Entry, record: JobRecord) -> TxnResult:
+        conditions = {entry.key: KeyVersion(entry.key_version)}
+        limit = self._node.store.limits.value_kb * 1024
+        try:
+            return self._txn(conditions, [Put(entry.key, cancel_mark(record, wall_now(), limit))])
+        except RejectedError as error:
+            # The store takes less than the settings say.
+            log.error("event=cancel-rejected job=%s error=%s", record.spec.id, error)
+            return self._txn(conditions, [Put(entry.key, cancel_mark(record, wall_now(), 0))])
+
 
 def _only(method: str, allowed: str) -> None:
     if method != allowed:
--- a/src/ryewing/budget.py
+++ b/src/ryewing/budget.py
@@ -24,12 +24,26 @@
 
     def take(self, amount: float = 1.0) -> bool:
         """Take the amount if it is there."""
-        self._refill()
-        if self._level + 1e-9 < min(amount, self.burst):
+        if not self.has(amount):
             return False
         self._level -= amount
         return True
 
+    def has(self, amount: float) -> bool:
+        """Tell whether the amount is there; more than the burst is never asked for."""
+        self._refill()
+        return self._level + 1e-9 >= min(amount, self.burst)
+
+    def charge(self, amount: float) -> None:
+        """Take the amount whether it is there or not: what is missing is owed."""
+        self._refill()
+        self._level -= amount
+
+    def set_rate(self, rate: float) -> None:
+        """Change the rate from now on; the burst stays."""
+        self._refill()
+        self.rate = rate
+
     def wait_s(self, amount: float = 1.0) -> float:
         """Tell how long until the amount would be there."""
         self._refill()
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -45,6 +45,7 @@
 from .store import Store, StoreUnavailableError, WatchExpiredError, readable
 from .transport import Reply
 from .units import JobId, NodeName, Revision, Steady, Term, steady_now
+from .user_quota import UserQuota
 from .wire import Entry, JobStatus, MachineType
 
 log = logging.getLogger("ryewing.node")
@@ -77,6 +78,8 @@
         limits = settings.params.state.strictest()
         self.store = Store(parse_address(settings.endpoints.state), limits)
         self.store.relay = self._relay
+        self.user_quota = UserQuota(limits.rps, len(settings.members) + 1, steady_now)
+        self.store.on_throttled = self.user_quota.shrink
         self.teams = {team.name: team for team in settings.params.teams}
         self.finals = Finals()
         self.leader: Leader | None = None
@@ -236,6 +239,7 @@
         now = steady_now()
         if not self._machine_types and now - self._machine_types_read_at > 0.5:
             self._machine_types_read_at = now
+            self.user_quota.charge()
             try:
                 listed = catalogue.read(self.store)
             except StoreUnavailableError:
@@ -290,6 +294,7 @@
         seen_at = self._unconfirmed_cancels.setdefault(job, steady_now())
         if len(self._unconfirmed_cancels) > UNCONFIRMED_CANCELS_MAX:
             self._unconfirmed_cancels.popitem(last=False)
+        self.user_quota.charge()
         entry = self.store.get(HOLDER_KEY)
         if entry is None or self._holder_acknowledges(entry, job):
             known = True
--- a/src/ryewing/store.py
+++ b/src/ryewing/store.py
@@ -36,6 +36,7 @@
 PROBE_S = 2.0
 """How often a node that was alone in losing the store tries again whether it can be reached."""
 PROBE_KEY = "lead/term"
+TXN_PATH = "/txn"
 T = TypeVar("T")
 Relay = Callable[[str, str, bytes | None], Reply | None]
 
@@ -118,6 +119,9 @@
         self.limits = limits
         """What may be asked of it, now and later."""
         self.relay: Relay | None = None
+        self.on_throttled: Callable[[], None] | None = None
+        """Called when the store refuses a request without changes as one too many. A refused
+        change may speak of the rate of changes, which has its own budget."""
         self._alone = False
         self._direct_s = DIRECT_S
 
@@ -130,11 +134,17 @@
         except UnreachableError as error:
             raise StoreUnavailableError(str(error)) from None
         if reply.status == 429:
+            if path != TXN_PATH:
+                self._note_throttled()
             raise ThrottledError("429")
         if reply.status >= 500:
             raise StoreUnavailableError(str(reply.status))
         return reply
 
+    def _note_throttled(self) -> None:
+        if self.on_throttled is not None:
+            self.on_throttled()
+
     def _request(self, method: str, path: str, body: bytes | None = None) -> Reply:
         relay = self.relay
         if relay is None:
@@ -215,7 +225,7 @@
                 "writes": [write.encode() for write in writes],
             }
         )
-        reply = self._request("POST", "/txn", body)
+        reply = self._request("POST", TXN_PATH, body)
         if reply.status == 400 and b"lease" in reply.body:
             raise LeaseLostError(reply.body.decode("utf-8", "replace"))
         if reply.status == 400:
@@ -255,6 +265,7 @@
         if reply.status == 410:
             raise WatchExpiredError
         if reply.status == 429:
+            self._note_throttled()
             raise ThrottledError("429")
         return _decode(reply, ChangeLog)
 
--- a/tests/api_client.py
+++ b/tests/api_client.py
@@ -12,8 +12,12 @@
 from ryewing.jobs import JobRecord, final_key, live_key
 from ryewing.store import Put
 from ryewing.units import JobId
+from ryewing.user_quota import UserQuota
 from ryewing.wire import JobStatus
 
+UNBOUNDED_RPS = 1e9
+"""The rate of the store has tests of its own (`test_user_quota.py`)."""
+
 
 class FakeLeader:
     """A leader that knows some jobs' states."""
@@ -33,6 +37,7 @@
 
     def __init__(self) -> None:
         self.store = FakeStore()
+        self.user_quota = UserQuota(UNBOUNDED_RPS, 1)
         self.policy = policy()
         self.finals = Finals(kept=3)
         self.leader: FakeLeader | None = None
