No fixed limit stands below 6,000 machines: list, direct messages, attempts, names

- The cloud's list was read whole each 4 s.
Of 6,000 machines that is 12 requests, more than the rate of 2.4 a second leaves, so that readings broke off and renting and returning found no rate.
- Direct exchanges waited in one line, 24 at once, each silent machine taking 2 s: where a zone of a thousand is lost, a cancel's halts waited for over a minute.
Machines with tasks to stop come first, a fiftieth of the sockets may be under way, and what waits is a line of names instead of a greenlet each.
The row for "asking never waits" counted spawned greenlets; it counts machines asked and senders now.
- Attempts of a term ended silently at 2^24 (four hours at a thousand starts a second) and would have gone on as the next term's.
The term ends before that (`attempts-used-up`).
- Of released machines 2,000 names were kept, now 20,000.
- A pass asked every unheard machine for every inherited job: one of each type, zone and kind is enough.
- The line `gathered` named every unheard machine; it names 20.

tests/test_large_fleet.py plays 4,000 stand-in workers through registration (82 requests to rent at the most, 100 writes at the most), placement, a take-over and the loss of a zone of 2,000.

--- a/src/ryewing/cloud.py
+++ b/src/ryewing/cloud.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from typing import TypeVar
 
 import msgspec
@@ -13,7 +13,6 @@
 from .transport import HttpClient, Reply, UnreachableError
 from .units import MachineId
 from .wire import (
-    ListedMachine,
     MachineNames,
     MachinePage,
     MachineType,
@@ -28,6 +27,7 @@
 DEADLINE_S = 4.0
 RENT_MAX = 50
 RELEASE_MAX = 100
+PAGE_MAX = 500
 T = TypeVar("T")
 
 
@@ -77,16 +77,10 @@
         body = msgspec.json.encode(MachineNames([str(m) for m in machines[:RELEASE_MAX]]))
         self._request("POST", "/machines/release", body)
 
-    def machines(self) -> Iterator[ListedMachine]:
-        """List the machines, as of some seconds ago."""
-        since = ""
-        while True:
-            path = "/machines?page=500" + (f"&since={since}" if since else "")
-            page = _decode(self._request("GET", path), MachinePage)
-            yield from page.machines
-            if not page.has_next or not page.machines:
-                return
-            since = page.machines[-1].id
+    def machine_page(self, since: str) -> MachinePage:
+        """List machines as of some seconds ago, those after a name."""
+        path = f"/machines?page={PAGE_MAX}" + (f"&since={since}" if since else "")
+        return _decode(self._request("GET", path), MachinePage)
 
 
 def _decode(reply: Reply, kind: type[T]) -> T:
--- a/src/ryewing/dispatch.py
+++ b/src/ryewing/dispatch.py
@@ -8,8 +8,8 @@
 
 import logging
 import math
+from collections import OrderedDict
 
-from gevent.lock import BoundedSemaphore
 from gevent.pool import Group
 
 from .budget import Budget
@@ -34,6 +34,9 @@
 ORDERS_MAX = 500
 """Commands in one response: keeps its line within 64 KiB."""
 SENDS_AT_ONCE = 24
+SENDS_SHARE = 0.02
+"""Direct exchanges under way at once: so many, or this part of the sockets if that is more. A
+silent machine takes one for two seconds, and where a zone is lost there are thousands."""
 TOKEN_BUMP_EVERY = 0.51
 """Leases between two raises of a worker's token: it reports one in half a lease."""
 UNWAITED_S = 4.5
@@ -50,6 +53,11 @@
 """Report intervals after which a silent machine is asked directly."""
 
 
+def sends_at_once(sockets: int) -> int:
+    """Bound the direct exchanges under way by the sockets that there are."""
+    return max(SENDS_AT_ONCE, int(SENDS_SHARE * sockets))
+
+
 class Dispatch:
     """Owns the exchanges with workers that are under way."""
 
@@ -60,8 +68,11 @@
         # Not a bounded pool: its spawn waits when it is full, and a decision under way must not
         # be interrupted.
         self._senders = Group()
-        self._send_slots = BoundedSemaphore(SENDS_AT_ONCE)
+        self._sends_at_once = sends_at_once(ctx.settings.params.resources.fd_limit)
         self._sending: set[MachineId] = set()
+        self._stops_waiting: OrderedDict[MachineId, Machine] = OrderedDict()
+        """Machines to be sent something when it is their turn: first those with tasks to stop."""
+        self._others_waiting: OrderedDict[MachineId, Machine] = OrderedDict()
         rate = EARLY_REPORTS_PER_CORE * ctx.settings.params.resources.core_share
         self._early_report_budget = Budget(rate, rate)
 
@@ -223,17 +234,31 @@
         return commands
 
     def send_soon(self, machine: Machine) -> None:
-        """Send halts and clears directly; with nothing to send it is a handshake."""
-        if machine.address and machine.id not in self._sending and not self.ctx.stopped:
-            self._sending.add(machine.id)
-            self._senders.spawn(self.send, machine)
+        """Send halts and clears directly; with nothing to send it is a handshake.
 
-    def send(self, machine: Machine) -> None:
-        """Do one direct exchange, when it is this one's turn."""
-        with self._send_slots:
-            self._send_now(machine)
+        Never waits: what is too much at once waits in line, and not behind machines that are only
+        asked how they are.
+        """
+        if not machine.address or machine.id in self._sending or self.ctx.stopped:
+            return
+        if self.ctx.stops.any_on(machine.id):
+            self._others_waiting.pop(machine.id, None)
+            self._stops_waiting[machine.id] = machine
+        elif machine.id not in self._stops_waiting:
+            self._others_waiting[machine.id] = machine
+        if len(self._senders) < self._sends_at_once:
+            self._senders.spawn(self._send_waiting)
+
+    def _send_waiting(self) -> None:
+        """Do the direct exchanges that wait, one after the other."""
+        while self._stops_waiting or self._others_waiting:
+            line = self._stops_waiting or self._others_waiting
+            _, machine = line.popitem(last=False)
+            self.send(machine)
 
-    def _send_now(self, machine: Machine) -> None:
+    def send(self, machine: Machine) -> None:
+        """Do one direct exchange."""
+        self._sending.add(machine.id)
         try:
             now = steady_now()
             if not self.ctx.authority.may_answer(now):
--- a/src/ryewing/machine.py
+++ b/src/ryewing/machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
+from typing import NamedTuple
 
 from .jobs import Job
 from .units import (
@@ -110,6 +111,14 @@
         """No other image was fetched there meanwhile."""
 
 
+class MachineKind(NamedTuple):
+    """What decides which jobs may use a machine."""
+
+    machine_type: str
+    zone: Zone
+    spot: bool
+
+
 class Machine:
     """One machine as far as it is known."""
 
@@ -211,6 +220,11 @@
         """Tell whether it was seen to hear us, since something was last lost."""
         return self.acknowledged >= self.required_acknowledgement
 
+    @property
+    def kind(self) -> MachineKind:
+        """Type, zone and spot: what decides which jobs may use it."""
+        return MachineKind(self.machine_type.name, self.zone, self.spot)
+
     def usable(self) -> bool:
         """Tell whether new tasks may be planned for it."""
         return (
--- a/src/ryewing/placement/state.py
+++ b/src/ryewing/placement/state.py
@@ -21,7 +21,7 @@
     fetch_s,
 )
 from ..jobs import Job
-from ..machine import COLD, FETCHED_NOW, WARM, Machine
+from ..machine import COLD, FETCHED_NOW, WARM, Machine, MachineKind
 from ..units import MachineId, Steady, Zone
 from ..wire import DAEMON, JobSpec
 from .images import LONG_FETCH_S, ImageSurvey
@@ -106,11 +106,9 @@
         self.limits: JobLimits
         """Of the job at hand (`begin`)."""
         self._gpus_kept_on = _machines_to_keep(inputs.capacities, inputs.gpus_kept)
-        self._groups: dict[tuple[str, Zone, bool], list[MachineCapacity]] = {}
+        self._groups: dict[MachineKind, list[MachineCapacity]] = {}
         for capacity in inputs.capacities:
-            machine = capacity.machine
-            kind = (machine.machine_type.name, machine.zone, machine.spot)
-            self._groups.setdefault(kind, []).append(capacity)
+            self._groups.setdefault(capacity.machine.kind, []).append(capacity)
         for number, capacity in enumerate(chain.from_iterable(self._groups.values())):
             capacity.number = number
         self._candidates: dict[tuple[object, ...], Candidates] = {}
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -20,7 +20,17 @@
 from .jobs import Job, fits_machine_type
 from .machine import FETCHING, PLANNED, RUNNING, SAVING, WARM, Assignment, Machine
 from .term import TermContext
-from .units import Attempt, JobId, MachineId, Steady, TaskId, attempt_of, steady_now, wall_now
+from .units import (
+    MAX_ATTEMPTS,
+    Attempt,
+    JobId,
+    MachineId,
+    Steady,
+    TaskId,
+    attempt_of,
+    steady_now,
+    wall_now,
+)
 from .wire import JobSpec
 
 log = logging.getLogger("ryewing.placer")
@@ -35,6 +45,10 @@
 """Report intervals for which a machine counts as heard: no new task goes to a silent one."""
 KINDS_MAX = 32
 """Classes of which it is remembered what a task takes."""
+ATTEMPTS_LEFT = 1 << 20
+"""A term ends when it has no more attempts than this to give out: far more than a pass plans."""
+NAMES_TOLD = 20
+"""Machines named in one line of the log."""
 MOVE_AFTER_S, MOVE_GAP_S, MOVE_SHARE = 30.0, 1.5, 0.0005
 """How long a machine must be unwanted before a replica is moved off it; what a move takes; and the
 part of a class's replica time that such moves may cost. Without bounds a third of a service's
@@ -42,6 +56,18 @@
 move each 5 s, a service of twenty missed a hundredth of its time as a day ran out."""
 
 
+def one_of_each_kind(machines: Sequence[Machine]) -> list[Machine]:
+    """Pick one machine of each type, zone and kind: what a job may use depends on nothing else."""
+    return list({machine.kind: machine for machine in machines}.values())
+
+
+def name_some(names: Sequence[str]) -> str:
+    """Name the first machines, and say how many more there are."""
+    more = len(names) - NAMES_TOLD
+    told = ",".join(names[:NAMES_TOLD])
+    return f"{told},and-{more}-more" if more > 0 else told
+
+
 class Placer:
     """Owns what passes have found: what is short, what GPUs were wanted."""
 
@@ -90,12 +116,16 @@
             "event=gathered term=%d waited_s=%.2f unheard=%s",
             self.ctx.term,
             waited,
-            ",".join(unheard) or "-",
+            name_some(unheard) or "-",
         )
         return True
 
     def run_pass(self) -> None:
         """Turn the jobs' shortfalls into planned tasks and stops, once."""
+        if self._attempts > MAX_ATTEMPTS - ATTEMPTS_LEFT:
+            # Attempts never repeat, so those of a term are bounded; the next one has new ones.
+            self.ctx.lose("attempts-used-up")
+            return
         now = steady_now()
         cluster = self.ctx.cluster
         cluster.drop_stale_plans(now, 2 * self.ctx.settings.params.workers.report_s + 2)
@@ -103,7 +133,8 @@
         if self._guarantees:
             preemption.mark_guarantees(self.ctx.job_table, self.ctx.teams)
         waiting = (self.ctx.job_table.jobs[job_id] for job_id in self.ctx.job_table.waiting)
-        jobs = [job for job in waiting if self._may_place(job, unheard, now)]
+        unheard_kinds = one_of_each_kind(unheard)
+        jobs = [job for job in waiting if self._may_place(job, unheard_kinds, now)]
         moving = self._replicas_to_move(now)
         # So many free GPUs work without GPUs must leave usable.
         gpus_kept = self._note_gpus_wanted(jobs, now)
@@ -276,14 +307,15 @@
         )
         return work / max(cpus, 1.0)
 
-    def _may_place(self, job: Job, unheard: list[Machine], now: Steady) -> bool:
+    def _may_place(self, job: Job, unheard_kinds: Sequence[Machine], now: Steady) -> bool:
         if job.cancelled or job.unwritten or now < job.backoff_until:
             # A job's finished batch is written before the job is refilled.
             return False
         if job.backoff_s and not self._may_probe(job, now):
             return False
         if job.inherited and any(
-            allows(job.spec, m) and fits_machine_type(job.spec, m.machine_type) for m in unheard
+            allows(job.spec, m) and fits_machine_type(job.spec, m.machine_type)
+            for m in unheard_kinds
         ):
             # Which of its tasks an unheard machine holds can't be known.
             return False
--- a/src/ryewing/renter.py
+++ b/src/ryewing/renter.py
@@ -13,6 +13,7 @@
 from . import catalogue, fleet
 from .cloud import RELEASE_MAX, RENT_MAX, Cloud, CloudUnavailableError, NoCapacityError
 from .dispatch import Dispatch
+from .listing import MachineListing
 from .machine import Machine
 from .placer import Placer
 from .settings import parse_address
@@ -25,10 +26,11 @@
 log = logging.getLogger("ryewing.renter")
 
 REQUEST_PREFIX = "h/"
-LIST_EVERY_S = 4.0
 UNLISTED_TWICE = 2
 MACHINE_TYPES_EVERY_S = 60.0
 UNHEARD_EXTRA_S = 0.5
+RELEASED_KEPT = 20_000
+"""Names of machines that are gone, kept for as long as copies of what they said may arrive."""
 RETIRE_SHARE = 0.01
 """The part of the fleet that stops taking work in one step."""
 BOOT_LEAST_S = 60.0
@@ -48,10 +50,10 @@
         self.dispatch = dispatch
         self.placer = placer
         self.cloud = Cloud(parse_address(ctx.settings.endpoints.cloud), ctx.settings.params.cloud)
+        self.listing = MachineListing(self.cloud, ctx.settings.params.cloud.rps)
         self.capacity_backoff = fleet.CapacityBackoff()
         self.pending_requests: dict[str, RentalRequest] = {}
         self._requests = 0
-        self._listed_at = Steady(-1e9)
         self._machine_types_at = Steady(-1e9)
         self._only_listed: dict[MachineId, int] = {}
         """Machines known from lists alone, and how many lists in a row have lacked them."""
@@ -85,8 +87,8 @@
             self.release(gone)
         if now - self._machine_types_at > MACHINE_TYPES_EVERY_S:
             self._read_machine_types()
-        if now - self._listed_at > LIST_EVERY_S:
-            self._list()
+        if self.listing.due(now):
+            self.read_list()
         for request in list(self.pending_requests.values()):
             self.send_request(request)
         if not self.placer.gathered or not self.ctx.machine_types:
@@ -206,7 +208,7 @@
                 self.dispatch.workers.forget(machine.address)
             self.writer.to_record.discard(machine.id)
             self.ctx.released[machine.id] = None
-            if len(self.ctx.released) > 2000:
+            if len(self.ctx.released) > RELEASED_KEPT:
                 self.ctx.released.popitem(last=False)
             self.writer.machines.drop(machine.id)
         self.ctx.place.set()
@@ -222,14 +224,13 @@
             catalogue.write(self.ctx.store, self.ctx.leadership.fenced(), machine_types)
             self._types_kept = kept
 
-    def _list(self) -> None:
+    def read_list(self) -> None:
+        """Read a page of the cloud's list, and take in what it tells."""
         now = steady_now()
-        self._listed_at = now
         failed = []
-        found: set[MachineId] = set()
-        for listed in self.cloud.machines():
+        page = self.listing.read_page(now)
+        for listed in page.machines:
             name = MachineId(listed.id)
-            found.add(name)
             if name in self.ctx.released:
                 continue
             machine = self.ctx.cluster.machines.get(name)
@@ -252,9 +253,10 @@
                 failed.append((machine, "failed"))
         if failed:
             self.release(failed)
-        self._forget_unlisted(found)
+        if page.all_names is not None:
+            self._forget_unlisted(page.all_names)
 
-    def _forget_unlisted(self, found: set[MachineId]) -> None:
+    def _forget_unlisted(self, found: frozenset[MachineId]) -> None:
         """Forget machines that a list has brought, nobody has heard, and lists lack again.
 
         Found by reading: lists are old, so a new leader took up what its predecessor had returned
--- a/src/ryewing/units.py
+++ b/src/ryewing/units.py
@@ -36,6 +36,8 @@
 
 _JOB_ID = re.compile(r"run-[0-9]{1,18}")
 _ATTEMPT_BITS = 24
+MAX_ATTEMPTS = (1 << _ATTEMPT_BITS) - 1
+"""Attempts that one term can give out: at a thousand starts a second, for four hours."""
 _TOKEN_BUMP_BITS = 20
 MAX_TOKEN_BUMPS = (1 << _TOKEN_BUMP_BITS) - 1
 
@@ -85,6 +87,8 @@
 
 def attempt_of(term: Term, counter: int) -> Attempt:
     """Derive an attempt number that no other term can give out."""
+    if not 0 <= counter <= MAX_ATTEMPTS:
+        raise ValueError(f"attempt {counter} would be another term's")
     return Attempt((int(term) << _ATTEMPT_BITS) | counter)
 
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -529,13 +529,13 @@
             return
         leader = node.leader
         if leader is not None:
-            leader.renter.cloud = self.cloud  # type: ignore[assignment]
+            leader.renter.cloud = leader.renter.listing.cloud = self.cloud  # type: ignore[assignment]
             leader.writer._budget = self._budget(leader.writer._budget)
             early = self._budget(leader.dispatch._early_report_budget)
             leader.dispatch._early_report_budget = early
             leader.placer._rng = random.Random(int(leader.term))
             leader.dispatch.workers = DirectLink(self, node.name)  # type: ignore[assignment]
-            leader.dispatch.send_soon = leader.dispatch._send_now  # type: ignore[method-assign]
+            leader.dispatch.send_soon = leader.dispatch.send  # type: ignore[method-assign]
 
     def _budget(self, budget: Budget) -> Budget:
         """Give a budget that goes by the clock of the test: one verdict whatever the machine."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,7 @@
     "intake",
     "leader",
     "leadership",
+    "listing",
     "placer",
     "recovery",
     "renter",
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ryewing.cloud import NoCapacityError
+from ryewing.cloud import PAGE_MAX, NoCapacityError
 from ryewing.jobs import Job, JobRecord
 from ryewing.leadership import Authority, Leadership
 from ryewing.policy import Policy, defaults
@@ -32,6 +32,7 @@
     Entry,
     JobSpec,
     ListedMachine,
+    MachinePage,
     MachineType,
     RentalRequest,
     Report,
@@ -270,8 +271,9 @@
     def release(self, machines: list[MachineId]) -> None:
         self.released.extend(machines)
 
-    def machines(self) -> list[ListedMachine]:
-        return self.listed
+    def machine_page(self, since: str) -> MachinePage:
+        after = sorted((m for m in self.listed if m.id > since), key=lambda machine: machine.id)
+        return MachinePage(after[:PAGE_MAX], len(after) > PAGE_MAX)
 
 
 class FakeWorker:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -66,7 +66,7 @@
             lambda _flavours: None,
             hint,
         )
-        leader.renter.cloud = self.cloud  # type: ignore[assignment]
+        leader.renter.cloud = leader.renter.listing.cloud = self.cloud  # type: ignore[assignment]
         leader.dispatch.workers = DirectWorkers(self.workers)  # type: ignore[assignment]
         leader.ctx.set_machine_types(self.cloud.machine_types())
         leader.dispatch.send_soon = lambda machine: None  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,244 @@
+"""About four thousand machines, played in one process: rules and counts of requests, no times."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+import pytest
+from fakes import FakeWorker, policy, settings
+from harness import LeaderHarness
+
+from ryewing.cloud import PAGE_MAX, RELEASE_MAX, RENT_MAX
+from ryewing.dispatch import SENDS_AT_ONCE, sends_at_once
+from ryewing.listing import LIST_SHARE
+from ryewing.machine import PLANNED
+from ryewing.mesh import FRAME_MAX, ImageHint
+from ryewing.placer import ATTEMPTS_LEFT, NAMES_TOLD, name_some
+from ryewing.renter import RELEASED_KEPT
+from ryewing.settings import Settings
+from ryewing.units import MAX_ATTEMPTS, JobId, MachineId, Term, attempt_of
+from ryewing.wire import Command, ListedMachine
+
+MACHINES = 4000
+MARGIN = 1.5
+"""No fixed limit stands below so many times the machines."""
+TASKS_A_MACHINE = 4
+LOOKS = 14
+"""Looks at the fleet, a report interval apart: longer than old hold and lease."""
+TASKS = MACHINES * TASKS_A_MACHINE
+
+
+class Fleet:
+    """Stand-in workers by machine, and the tasks that each of them runs."""
+
+    def __init__(self, harness: LeaderHarness) -> None:
+        self.harness = harness
+        self.workers: dict[str, FakeWorker] = {}
+        self.silent: set[str] = set()
+        self.placed: dict[str, str] = {}
+        """Where each task is, as the workers have it."""
+        self.started: Counter[str] = Counter()
+
+    def rent(self) -> tuple[int, int]:
+        """Rent what is wanted, and let it boot; count the requests, and writes once it is up."""
+        harness, renter = self.harness, self.harness.leader.renter
+        requests = len(harness.cloud.requests)
+        while len(harness.leader.ctx.cluster.machines) < MACHINES:
+            harness.place()
+            renter.rent()
+        harness.write()
+        self._boot()
+        writes = harness.store.writes
+        for _ in range(2):
+            self.report_all()
+        harness.write()
+        writes = harness.store.writes - writes
+        self.report_all()
+        return len(harness.cloud.requests) - requests, writes
+
+    def _boot(self) -> None:
+        for name, machine in self.harness.leader.ctx.cluster.machines.items():
+            if name not in self.workers:
+                self.workers[name] = FakeWorker(
+                    name, machine.machine_type.name, machine.zone, machine.spot
+                )
+
+    def report_all(self) -> None:
+        """Let every worker that can speak report and execute its answer."""
+        self.report(self.workers)
+
+    def report_planned(self) -> None:
+        """Let those report for which starts are planned."""
+        machines = self.harness.leader.ctx.cluster.machines
+        phases = {
+            name: {assignment.phase for assignment in machine.assignments.values()}
+            for name, machine in machines.items()
+        }
+        self.report([name for name, found in phases.items() if PLANNED in found])
+
+    def report(self, names: Iterable[str]) -> None:
+        """Let some workers report, of those that can speak, and execute their answers."""
+        for name in names:
+            worker = self.workers[name]
+            if name not in self.silent:
+                answer = self.harness.leader.on_report(worker.report())
+                assert answer is not None
+                self._execute(name, worker, answer.token, answer.commands)
+
+    def _execute(self, name: str, worker: FakeWorker, token: int, commands: list[Command]) -> None:
+        for command in commands:
+            assert command.verb == "start"
+            assert command.task_id not in self.placed, "a task is started on a second machine"
+            self.placed[command.task_id] = name
+            self.started[command.task_id] += 1
+        worker.execute(token, commands)
+
+    def lease_over(self) -> None:
+        """The silent workers kill and forget their tasks."""
+        self.placed = {task: name for task, name in self.placed.items() if name not in self.silent}
+        for name in self.silent:
+            del self.workers[name]
+        self.silent.clear()
+
+
+def large_settings() -> Settings:
+    """Give settings without limits of teams, and sockets for so many machines."""
+    raw = msgspec.to_builtins(settings())
+    for team in raw["params"]["teams"]:
+        team.update(cpus_max=0.0, gpus_max=0.0)
+    raw["params"]["resources"]["fd_limit"] = int(1.4 * MARGIN * MACHINES) + 100
+    return msgspec.convert(raw, Settings)
+
+
+@pytest.fixture
+def fleet(harness: LeaderHarness) -> Fleet:
+    """Rent, boot and record the machines that one large array wants, in two zones."""
+    harness.settings = large_settings()
+    harness.cloud.capacity = MACHINES
+    harness.new_leader(6)
+    harness.accept(task_count=TASKS, cpus=8.0, estimated_s=300.0, spot=True, spread=True)
+    found = Fleet(harness)
+    requests, writes = found.rent()
+    assert requests <= MACHINES // RENT_MAX + 2
+    # A value holds some fifty machines; one write each would take minutes of the write rate.
+    assert writes <= MACHINES // 40
+    assert all(m.usable() for m in harness.leader.ctx.cluster.machines.values())
+    return found
+
+
+def fill(fleet: Fleet) -> None:
+    """Place until every task runs; a pass looks at a sample of the machines."""
+    harness = fleet.harness
+    passes = 0
+    while len(fleet.placed) < TASKS:
+        harness.place()
+        passes += 1
+        assert passes <= MACHINES / policy().sample + 1
+        harness.later(0.1)
+        fleet.report_planned()
+    fleet.report_all()
+
+
+def test_four_thousand_machines_through_a_take_over_and_a_mass_loss(fleet: Fleet) -> None:
+    harness = fleet.harness
+    fill(fleet)
+
+    # A take-over: every machine is heard by its reports, nothing is started again.
+    asked: Counter[MachineId] = Counter()
+    leader = harness.new_leader(7)
+    leader.dispatch.send_soon = lambda machine: asked.update([machine.id])  # type: ignore[method-assign]
+    job = leader.ctx.job_table.jobs[JobId("run-1")]
+    assert len(leader.ctx.cluster.machines) == MACHINES
+    assert not leader.placer.ready_to_place()
+    for _ in range(2):
+        fleet.report_all()
+    harness.place()
+    fleet.report_all()
+    assert (job.running, job.shortfall) == (TASKS, 0)
+    assert set(fleet.started.values()) == {1}
+    leader.dispatch.probe(harness.clock())
+    assert not asked
+
+    # A zone falls silent: too many at once to be released, so each is kept for as long as the
+    # earlier leader may have answered it, and its lease after that.
+    lost = {name for name, worker in fleet.workers.items() if worker.zone == "a"}
+    stopped = {task for task, name in fleet.placed.items() if name in lost}
+    assert MACHINES // 3 < len(lost) < 2 * MACHINES // 3
+    fleet.silent = set(lost)
+    for look in range(LOOKS):
+        harness.later(3.0)
+        fleet.report_all()
+        leader.tend_once()
+        harness.place()
+        given_up = leader.renter.to_give_up(harness.clock())
+        assert not any(machine.may_hold_until for machine, _why in given_up)
+        assert max(asked.values(), default=0) <= look + 1
+    fleet.lease_over()
+    requests = 0
+    while gone := leader.renter.to_give_up(harness.clock()):
+        leader.renter.release(gone)
+        requests += 1
+    assert requests == -(-len(lost) // RELEASE_MAX)
+    assert set(map(str, harness.cloud.released)) == lost
+
+    # Its work runs again on new machines, and nothing else is touched.
+    harness.cloud.capacity = len(lost)
+    fleet.rent()
+    fill(fleet)
+    assert {task for task, count in fleet.started.items() if count == 2} == stopped
+    assert set(fleet.started.values()) == {1, 2}
+    assert (job.running, job.shortfall) == (TASKS, 0)
+
+
+@pytest.mark.parametrize("machines", [400, 1000, int(MARGIN * MACHINES)])
+def test_the_list_leaves_the_clouds_rate_to_rentals(harness: LeaderHarness, machines: int) -> None:
+    """Of 6,000 machines a reading takes 12 requests; each 4 s that is beyond the rate."""
+    harness.cloud.listed = [
+        ListedMachine(f"i-{number:06d}", "c32", "a", "running", "", False, 5.0)
+        for number in range(machines)
+    ]
+    renter = harness.leader.renter
+    rps = harness.settings.params.cloud.rps
+    pages = 0
+    seconds = 60.0
+    for _ in range(round(seconds / 0.5)):
+        harness.clock.now += 0.5
+        if renter.listing.due(harness.clock()):
+            renter.read_list()
+            pages += 1
+    assert len(harness.leader.ctx.cluster.machines) == machines
+    assert pages <= LIST_SHARE * rps * (seconds + 1) + 1
+    assert pages >= -(-machines // PAGE_MAX)
+
+
+def test_a_term_that_has_used_up_its_attempts_ends(harness: LeaderHarness) -> None:
+    """An attempt beyond its term's would be one of the next term's, and attempts never repeat."""
+    harness.ready_worker()
+    harness.accept(task_count=1)
+    harness.leader.placer._attempts = MAX_ATTEMPTS - ATTEMPTS_LEFT
+    harness.place()
+    assert harness.assignments()
+    assert not harness.lost
+    harness.place()
+    assert harness.lost == ["attempts-used-up"]
+    assert attempt_of(Term(5), MAX_ATTEMPTS) < attempt_of(Term(6), 0)
+    with pytest.raises(ValueError, match="another term"):
+        attempt_of(Term(5), MAX_ATTEMPTS + 1)
+
+
+def test_fixed_limits_stand_above_the_fleet() -> None:
+    fleet = int(MARGIN * MACHINES)
+    images = [
+        (f"registry/some-longer-image-name-{number:05d}:1.2.3", 1.0) for number in range(2000)
+    ]
+    machines = {f"i-{number:06d}": list(range(number % 1900, number % 1900 + 40))
+                for number in range(fleet)}  # fmt: skip
+    assert len(msgspec.msgpack.encode(ImageHint(1, images, machines))) < FRAME_MAX / 2
+    assert fleet < RELEASED_KEPT
+    assert fleet * 2 * 32 < ATTEMPTS_LEFT  # a task for each half of a processor
+    assert sends_at_once(large_settings().params.resources.fd_limit) > 5 * SENDS_AT_ONCE
+    names = [f"i-{number:06d}" for number in range(fleet)]
+    assert len(name_some(names)) < 12 * NAMES_TOLD
+    assert name_some(names[:2]) == "i-000000,i-000001"
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -9,10 +9,10 @@
 from harness import LeaderHarness
 
 from ryewing.cloud import CloudUnavailableError
-from ryewing.dispatch import PROBE_AFTER
+from ryewing.dispatch import PROBE_AFTER, SENDS_AT_ONCE
 from ryewing.leader import CUT, CUT_PROBE_S
 from ryewing.renter import REQUEST_PREFIX
-from ryewing.units import MachineId
+from ryewing.units import JobId, MachineId
 from ryewing.wire import ListedMachine
 from ryewing.writer import MACHINE_PREFIX
 
@@ -116,7 +116,7 @@
     for shown in lists:
         host = ListedMachine(worker.name, "c32", "a", "running", "", False, 5.0)
         harness.cloud.listed = [host] if shown else []
-        harness.leader.renter._list()
+        harness.leader.renter.read_list()
         if heard:
             harness.exchange(worker)
     assert (MachineId(worker.name) in harness.leader.ctx.cluster.machines) is known
@@ -177,12 +177,37 @@
     """Found on a day of our own: a full pool of senders interrupted a loop over the machines."""
     harness.ready_workers(100)
     del harness.leader.dispatch.send_soon
-    spawned: list[object] = []
-    harness.leader.dispatch._senders.spawn = lambda *args: spawned.append(args)
+    dispatch = harness.leader.dispatch
+    asked: list[MachineId] = []
+    dispatch.send = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
     harness.later(policy().silence_s)
-    harness.leader.dispatch.probe(harness.clock())
-    harness.leader.dispatch.probe(harness.clock())
-    assert len(spawned) == 100  # one each, at once, and none twice
+    dispatch.probe(harness.clock())
+    dispatch.probe(harness.clock())
+    assert not asked  # nothing was done while the machines were gone through
+    assert len(dispatch._senders) == SENDS_AT_ONCE
+    dispatch._senders.join()
+    assert sorted(asked) == sorted(harness.leader.ctx.cluster.machines)  # one each, none twice
+
+
+def test_tasks_to_stop_do_not_wait_behind_silent_machines(harness: LeaderHarness) -> None:
+    """Each silent one takes two seconds: where a zone was lost, cancels waited for a minute."""
+    workers = harness.ready_workers(100)
+    harness.accept(task_count=1)
+    harness.place()
+    for worker in workers:
+        harness.exchange(worker)
+    del harness.leader.dispatch.send_soon
+    dispatch = harness.leader.dispatch
+    asked: list[MachineId] = []
+    dispatch.send = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
+    harness.later(policy().silence_s)
+    dispatch.probe(harness.clock())
+    [machine] = [m for m in harness.leader.ctx.cluster.machines.values() if m.assignments]
+    harness.leader.take_cancel(JobId("run-1"))
+    assert machine.id not in dispatch._others_waiting
+    dispatch._senders.join()
+    assert asked[0] == machine.id
+    assert len(asked) == 100
 
 
 @pytest.mark.parametrize(("silent", "cut"), [(2, False), (6, False), (7, True), (9, True)])
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -15,7 +15,7 @@
 from ryewing.capacity import MachineCapacity, Quota
 from ryewing.cloud import RELEASE_MAX
 from ryewing.cluster_state import ClusterState
-from ryewing.dispatch import SENDS_AT_ONCE
+from ryewing.dispatch import sends_at_once
 from ryewing.jobs import DONE_PREFIX, Job, JobRecord, JobTable, live_key
 from ryewing.machine import RUNNING
 from ryewing.mesh import ImageHint
@@ -191,7 +191,7 @@
         workers._client(f"10.0.{n // 250}.{n % 250 + 1}:9000")
     kept = len(workers._clients)
     store = 6 + 2 + SUBMITS_AT_ONCE + STORE_READS_AT_ONCE
-    others = int(MESH_SHARE * sockets) + kept + SENDS_AT_ONCE + store
+    others = int(MESH_SHARE * sockets) + kept + sends_at_once(sockets) + store
     assert int(API_SHARE * sockets) >= 1.2 * 1100
     assert int(API_SHARE * sockets) + others <= sockets
 
--- a/tests/test_unreadable.py
+++ b/tests/test_unreadable.py
@@ -153,7 +153,7 @@
 ) -> None:
     monkeypatch.setattr("ryewing.cloud.HttpClient.request", lambda *_args: Reply(200, body))
     cloud = Cloud(("127.0.0.1", 1), CloudLimits(1000.0, 10.0))
-    for ask in (cloud.machine_types, lambda: list(cloud.machines())):
+    for ask in (cloud.machine_types, lambda: cloud.machine_page("")):
         with pytest.raises(CloudUnavailableError):
             ask()
 
