Shards: division, ownership steps, a shard's part of the store, and a planner

The daemon does not load the package.

Controllers that divide differently find out by the stored division. - `ownership`, `registry`: pure steps, each taken by one write on the version it replaces. Who may start rests on the shard's lease and term, so a wrong record costs time, never safety. - `shard_store`: the modules of a term run over a part of the store unchanged; rows run leaders of two shards over one store. - `planner`: an integer program by highspy, greedy without it or without an answer in time. Against every assignment there is: the best; planned again from there: no move.

On the way one found a holder that the record no longer named and that kept the lease: it resigns.

--- a/src/ryewing/cli.py
+++ b/src/ryewing/cli.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import sys
+from pathlib import Path
 
 from . import __version__
 from . import policy as policies
@@ -34,6 +35,7 @@
     commands = top.add_subparsers(dest="command", metavar="COMMAND")
     check = commands.add_parser("check", help="check a settings file and the Lua script, and end")
     check.add_argument("file", help="the settings file")
+    check.add_argument("--shards", metavar="FILE", help="a division of the fleet to check as well")
     return top
 
 
@@ -53,6 +55,13 @@
     return settings, policies.defaults(settings)
 
 
+def _check_shards(path: str, settings: Settings) -> None:
+    from .sharding.settings import load_shards  # only who asks for it pays for the import
+
+    shards = load_shards(Path(path), settings)
+    print(f"{path}: good, shards {', '.join(shards.names())}")
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run the command line; return the exit code."""
     top = parser()
@@ -62,6 +71,8 @@
         top.error("give --config FILE to run a controller, or a command")
     try:
         settings, policy = _load(path, arguments.policy)
+        if arguments.command == "check" and arguments.shards is not None:
+            _check_shards(arguments.shards, settings)
     except (SettingsError, policies.PolicyError) as error:
         print(f"ryewing: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/src/ryewing/sharding/exact.py
@@ -0,0 +1,62 @@
+"""Owners by an integer program, solved by HiGHS within a time.
+
+One binary variable for each shard and controller that may own it; the fullest controller's share of
+its room is a variable that bounds them all, and its part above one is another.
+"""
+
+from __future__ import annotations
+
+import highspy
+
+from .load import (
+    MOVE_COST,
+    OVERLOAD_COST,
+    PEAK_COST,
+    Assignment,
+    PlanInputs,
+    ShardLoad,
+)
+
+
+class NoSolutionError(Exception):
+    """The solver found nothing in its time."""
+
+
+def assign(inputs: PlanInputs, limit_s: float) -> Assignment:
+    """Assign every shard at the least cost, as far as that is found in time."""
+    model = highspy.Highs()
+    model.setOptionValue("output_flag", False)
+    model.setOptionValue("time_limit", limit_s)
+    model.setOptionValue("random_seed", 0)
+    peak = model.addVariable(lb=0.0, obj=PEAK_COST)
+    overload = model.addVariable(lb=0.0, obj=OVERLOAD_COST)
+    model.addConstr(overload >= peak - 1.0)
+    owns = {
+        (shard.name, node): model.addBinary(obj=_move_cost(shard, node))
+        for shard in inputs.shards
+        for node in inputs.choices(shard)
+    }
+    for shard in inputs.shards:
+        model.addConstr(sum(owns[shard.name, node] for node in inputs.choices(shard)) == 1)
+    for room in inputs.nodes:
+        terms = [
+            (shard.load / room.room) * owns[shard.name, room.name]
+            for shard in inputs.shards
+            if (shard.name, room.name) in owns
+        ]
+        if terms:
+            model.addConstr(sum(terms) <= peak)
+    model.minimize()
+    if model.getInfo().primal_solution_status != highspy.SolutionStatus.kSolutionStatusFeasible:
+        raise NoSolutionError(model.modelStatusToString(model.getModelStatus()))
+    values = model.getSolution().col_value
+    return {
+        shard.name: max(
+            inputs.choices(shard), key=lambda node: values[owns[shard.name, node].index]
+        )
+        for shard in inputs.shards
+    }
+
+
+def _move_cost(shard: ShardLoad, node: str) -> float:
+    return MOVE_COST if shard.owner is not None and node != shard.owner else 0.0
--- /dev/null
+++ b/src/ryewing/sharding/shard_store.py
@@ -0,0 +1,89 @@
+"""One shard's part of the state service: the same keys as ever, under a prefix of its own.
+
+Everything that a leader keeps (lease, term, jobs, finishes, machines, requests) is written by the
+modules that know nothing of shards, through this. So a shard is the unsharded design in small: its
+records are fenced by its own term, and nothing that one shard's leader does touches another's keys.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from ..settings import StateLimits
+from ..store import Put, Remove, Store, TxnResult
+from ..units import KeyVersion, Revision
+from ..wire import Change, ChangeLog, Entry, EntryPage
+from .settings import ShardName
+
+SHARD_PREFIX = "s/"
+
+
+class ShardStore:
+    """The store as one shard's leader sees it; leases are the store's own."""
+
+    def __init__(self, store: Store, shard: ShardName) -> None:
+        self._store = store
+        self._prefix = f"{SHARD_PREFIX}{shard}/"
+
+    @property
+    def limits(self) -> StateLimits:
+        """What may be asked of the store, all shards together."""
+        return self._store.limits
+
+    def get(self, key: str) -> Entry | None:
+        """Read one key."""
+        entry = self._store.get(self._prefix + key)
+        return self._inside(entry) if entry is not None else None
+
+    def pages(self, prefix: str) -> Iterator[EntryPage]:
+        """Read every key with the prefix, page by page."""
+        for page in self._store.pages(self._prefix + prefix):
+            inside = [self._inside(entry) for entry in page.entries]
+            yield msgspec.structs.replace(page, entries=inside)
+
+    def listing(self, prefix: str) -> tuple[list[Entry], Revision]:
+        """Read every key with the prefix, and the revision from which to watch."""
+        entries, revision = self._store.listing(self._prefix + prefix)
+        return [self._inside(entry) for entry in entries], revision
+
+    def txn(self, conditions: dict[str, KeyVersion], writes: Iterable[Put | Remove]) -> TxnResult:
+        """Apply the writes if every key has the given version."""
+        result = self._store.txn(
+            {self._prefix + key: version for key, version in conditions.items()},
+            [self._outside(write) for write in writes],
+        )
+        failed = frozenset(key.removeprefix(self._prefix) for key in result.failed)
+        return TxnResult(result.ok, result.revision, failed)
+
+    def watch(self, prefix: str, since: Revision, wait_s: float) -> ChangeLog:
+        """Wait for changes under the prefix."""
+        changes = self._store.watch(self._prefix + prefix, since, wait_s)
+        return ChangeLog(changes.revision, [self._inside_change(change) for change in changes.log])
+
+    def grant(self, ttl_s: float) -> int:
+        """Obtain a lease."""
+        return self._store.grant(ttl_s)
+
+    def renew(self, lease: int, deadline_s: float) -> None:
+        """Renew a lease; raise LeaseLostError if it is gone."""
+        self._store.renew(lease, deadline_s)
+
+    def resign(self, lease: int) -> None:
+        """End a lease at once."""
+        self._store.resign(lease)
+
+    def _inside(self, entry: Entry) -> Entry:
+        return msgspec.structs.replace(entry, key=entry.key.removeprefix(self._prefix))
+
+    def _inside_change(self, change: Change) -> Change:
+        if change.set is not None:
+            return msgspec.structs.replace(change, set=change.set.removeprefix(self._prefix))
+        if change.remove is not None:
+            return msgspec.structs.replace(change, remove=change.remove.removeprefix(self._prefix))
+        return change
+
+    def _outside(self, write: Put | Remove) -> Put | Remove:
+        key = self._prefix + write.key
+        return Put(key, write.value, write.lease) if isinstance(write, Put) else Remove(key)
--- /dev/null
+++ b/tests/test_shard_store.py
@@ -0,0 +1,69 @@
+"""A shard's part of the store: leaders of two shards over one store don't meet."""
+
+from __future__ import annotations
+
+import pytest
+from fakes import FakeStore
+from harness import LeaderHarness, starts
+
+from ryewing.jobs import live_key
+from ryewing.leadership import HOLDER_KEY, read_view
+from ryewing.sharding.settings import ShardName
+from ryewing.sharding.shard_store import ShardStore
+from ryewing.store import Put
+from ryewing.units import JobId, KeyVersion, Revision
+
+
+def shard(store: FakeStore, name: str) -> ShardStore:
+    return ShardStore(store, ShardName(name))  # type: ignore[arg-type]
+
+
+def test_keys_are_the_same_inside_and_apart_outside() -> None:
+    store = FakeStore()
+    east, west = shard(store, "east"), shard(store, "west")
+    lease = east.grant(3.0)
+    assert east.txn({"a": KeyVersion(0)}, [Put("a", 1, lease), Put("b/c", 2)]).ok
+    assert west.txn({"a": KeyVersion(0)}, [Put("a", 3)]).ok
+    assert west.txn({"a": KeyVersion(0)}, [Put("a", 4)]).failed == {"a"}
+    assert sorted(store.data) == ["s/east/a", "s/east/b/c", "s/west/a"]
+    assert [entry.key for entry in east.listing("")[0]] == ["a", "b/c"]
+    assert [change.set for change in east.watch("b/", Revision(0), 1.0).log] == ["b/c"]
+    found = west.get("a")
+    assert found is not None
+    assert (found.key, bytes(found.data)) == ("a", b"3")
+    store.expire(lease)
+    assert east.get("a") is None
+    assert west.get("a") is not None
+    removed = east.watch("", Revision(2), 1.0).log
+    assert [change.remove for change in removed] == ["a"]
+
+
+@pytest.mark.parametrize("other_term", [3, 5, 9])
+def test_a_leader_of_one_shard_neither_sees_nor_fences_another(
+    harness: LeaderHarness, other_term: int
+) -> None:
+    """The same leader, with the same jobs, over two shards of one store."""
+    whole = harness.store
+    harness.store = shard(whole, "east")  # type: ignore[assignment]
+    harness.new_leader(5)
+    worker = harness.ready_worker()
+    job = harness.accept(task_count=1)
+    east = harness.leader
+
+    harness.store = shard(whole, "west")  # type: ignore[assignment]
+    west = harness.new_leader(other_term)
+    assert not west.ctx.cluster.machines
+    assert not west.ctx.job_table.jobs
+    assert read_view(west.ctx.store).term == other_term
+    assert west.ctx.store.get(HOLDER_KEY) is None
+
+    harness.leader, harness.store = east, shard(whole, "east")  # type: ignore[assignment]
+    harness.place()
+    assert starts(harness.exchange(worker)) == [f"{job}/0"]
+    harness.exchange(worker)
+    harness.end(worker)
+    harness.write()
+    assert harness.finals == {JobId("run-1"): "done"}
+    assert not harness.lost
+    assert whole.get("s/east/" + live_key(job)) is None
+    harness.store = whole
--- /dev/null
+++ b/tests/test_sharding.py
@@ -0,0 +1,247 @@
+"""Shards: their settings, how they change hands, and who should own them."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import sys
+from typing import Any
+
+import msgspec
+import pytest
+from cluster import StoreLink, TimedStore
+from fakes import RAW_SETTINGS, Clock, settings
+
+from ryewing.cli import main
+from ryewing.sharding import exact, greedy, planner
+from ryewing.sharding.load import NodeRoom, PlanInputs, ShardLoad, cost, moves
+from ryewing.sharding.ownership import (
+    MoveRefusedError,
+    Ownership,
+    Phase,
+    begin_move,
+    finish,
+    first_owner,
+    repair,
+    settle,
+)
+from ryewing.sharding.registry import OWNER_PREFIX, DivisionDiffersError, ShardRegistry
+from ryewing.sharding.settings import ShardName, ShardSettings, ShardSpec, problems
+from ryewing.store import StoreUnavailableError
+from ryewing.units import NodeName, Steady
+
+NODES = [NodeName(name) for name in ("n-0", "n-1", "n-2")]
+SHARD = ShardName("east")
+NOW = Steady(1000.0)
+
+
+@pytest.mark.parametrize(
+    ("shards", "named"),
+    [
+        ([], "there is none"),
+        ([("a", "abc")], None),
+        ([("a", "a"), ("b", "bc")], None),
+        ([("a", "ab"), ("b", "bc")], "'b' is in 'a' already"),
+        ([("a", "ab")], "no shard has zone 'c'"),
+        ([("a", "abcd")], "unknown zone 'd'"),
+        ([("a", "ab"), ("a", "c")], "is there twice"),
+        ([("a/b", "abc")], "letters, digits and hyphens"),
+        ([("a", "abc", "n-9")], "unknown controller 'n-9'"),
+        ([("a", "abc"), ("b", "")], "shards.b.zones: there is none"),
+    ],
+)
+def test_a_division_of_the_fleet_is_checked(
+    tmp_path: Any, capsys: Any, shards: list[tuple[str, ...]], named: str | None
+) -> None:
+    """By the command line, which names the problem and ends with an exit code other than 0."""
+    (tmp_path / "s.json").write_bytes(msgspec.json.encode(RAW_SETTINGS))
+    specs = [
+        {"name": name, "zones": list(zones), "pinned_to": pinned[0] if pinned else None}
+        for name, zones, *pinned in shards
+    ]
+    (tmp_path / "d.json").write_bytes(msgspec.json.encode({"shards": specs}))
+    code = main(["check", str(tmp_path / "s.json"), "--shards", str(tmp_path / "d.json")])
+    assert code == (0 if named is None else 1)
+    assert (named or "good, shards") in "".join(capsys.readouterr())
+
+
+def test_controllers_that_divide_the_fleet_differently_say_so() -> None:
+    registry = ShardRegistry(TimedStore(Clock()))  # type: ignore[arg-type]
+    one = ShardSettings((ShardSpec("a", ("a", "b", "c")),))
+    assert not list(problems(one, settings()))
+    registry.agree_on(one)
+    registry.agree_on(one)
+    with pytest.raises(DivisionDiffersError):
+        registry.agree_on(ShardSettings((ShardSpec("a", ("a",)), ShardSpec("b", ("b", "c")))))
+
+
+@pytest.mark.parametrize(
+    ("record", "target"),
+    [
+        (first_owner(NODES[0]), "n-0"),
+        (first_owner(NODES[0]), "n-9"),
+        (Ownership("n-0", 2, Phase.SEALED, "n-1"), "n-2"),
+        (Ownership("n-0", 3, Phase.SETTLED, "n-1"), "n-2"),
+    ],
+)
+def test_moves_that_make_no_sense_are_refused(record: Ownership, target: str) -> None:
+    with pytest.raises(MoveRefusedError):
+        begin_move(record, NodeName(target), set(NODES))
+
+
+def test_an_unreadable_record_is_its_own_shards_trouble() -> None:
+    store = TimedStore(Clock())
+    registry = ShardRegistry(store)  # type: ignore[arg-type]
+    store.plant(OWNER_PREFIX + SHARD, b'{"owner":7}')
+    found = registry.read([SHARD, ShardName("west")])
+    assert registry.take(SHARD, found[SHARD], lambda _: first_owner(NODES[0])) is None
+    west = registry.take(ShardName("west"), found[ShardName("west")], lambda _: Ownership("n-1", 1))
+    assert west == Ownership("n-1", 1)
+
+
+class Controllers:
+    """Three controllers that take the steps of one shard's record, over a store that fails."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.store = TimedStore(Clock())
+        self.links = {node: StoreLink(self.store) for node in NODES}
+        self.healthy = set(NODES)
+        self.leading: NodeName | None = None
+        """Who holds the shard's lease."""
+
+    def act(self, node: NodeName, target: NodeName | None) -> None:
+        """One controller reads the record and takes the step that is its own, if any."""
+        registry = ShardRegistry(self.links[node])  # type: ignore[arg-type]
+        try:
+            seen = registry.read([SHARD])[SHARD]
+            record = seen.record
+            if record is not None and record.leads(node) and self.leading is None:
+                self.leading = node
+            elif record is not None and not record.leads(node) and self.leading == node:
+                self.leading = None
+            registry.take(SHARD, seen, lambda record: self._step(record, node, target))
+        except (StoreUnavailableError, MoveRefusedError):
+            pass
+
+    def _step(
+        self, record: Ownership | None, node: NodeName, target: NodeName | None
+    ) -> Ownership | None:
+        if record is None:
+            return first_owner(node)
+        if target is not None:
+            return begin_move(record, target, self.healthy)
+        settled = settle(record, node)
+        if settled is not None:
+            if self.leading == node:
+                self.leading = None  # it resigns first
+            return settled
+        if self.leading == node:
+            return finish(record, node) or repair(record, node, self.healthy)
+        return repair(record, node, self.healthy)
+
+    def disturb(self) -> None:
+        """Something fails, or is whole again."""
+        node = self.rng.choice(NODES)
+        link = self.links[node]
+        match self.rng.randrange(6):
+            case 0 if len(self.healthy) > 1:
+                self.healthy.discard(node)
+                if self.leading == node:
+                    self.leading = None  # its lease ends
+            case 1:
+                self.healthy.add(node)
+            case 2:
+                link.answer_lost = not link.answer_lost
+            case 3:
+                link.late = True
+            case 4:
+                link.catch_up()
+            case 5:
+                link.refused = not link.refused
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_a_shard_ends_with_one_owner_whatever_fails_on_its_way(seed: int) -> None:
+    """Controllers die at any step, answers are lost, writes come late; then all is well again."""
+    rng = random.Random(seed)
+    world = Controllers(rng)
+    epoch = 0
+    for _ in range(120):
+        if rng.random() < 0.3:
+            world.disturb()
+        node = rng.choice(sorted(world.healthy))
+        world.act(node, rng.choice(NODES) if rng.random() < 0.15 else None)
+        found = ShardRegistry(world.store).read([SHARD])[SHARD].record  # type: ignore[arg-type]
+        if found is not None:
+            assert found.epoch >= epoch
+            epoch = found.epoch
+            assert sum(found.leads(node) for node in NODES) == 1
+            assert [node for node in NODES if found.may_start(node)] in ([], [found.owner])
+    for link in world.links.values():
+        link.catch_up()
+        link.answer_lost = link.refused = False
+    for _ in range(4):
+        for node in sorted(world.healthy):
+            world.act(node, None)
+    last = ShardRegistry(world.store).read([SHARD])[SHARD].record  # type: ignore[arg-type]
+    assert last is not None
+    assert last.phase is Phase.OWNED
+    assert last.owner in world.healthy
+    assert world.leading == last.owner
+
+
+def random_inputs(rng: random.Random, shards: int, nodes: int) -> PlanInputs:
+    names = [NodeName(f"n-{number}") for number in range(nodes)]
+    return PlanInputs(
+        [
+            ShardLoad(
+                ShardName(f"s-{number}"),
+                rng.choice((0.0, 0.05, 0.1, 0.3)),
+                rng.choice([*names, NodeName("gone"), None]),
+                rng.choice([None, None, None, names[0]]),
+                rng.choice([None, None, Steady(NOW - 10.0), Steady(NOW - 100.0)]),
+            )
+            for number in range(shards)
+        ],
+        [NodeRoom(name, rng.choice((0.4, 0.8))) for name in names],
+        NOW,
+        60.0,
+        rng.random() < 0.9,
+    )
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_the_plan_is_the_best_there_is_and_stays(seed: int) -> None:
+    """Against every assignment there is; and planned again from there, nothing moves."""
+    rng = random.Random(seed)
+    inputs = random_inputs(rng, 5, 3)
+    choices = [inputs.choices(shard) for shard in inputs.shards]
+    names = [shard.name for shard in inputs.shards]
+    everything = [dict(zip(names, each, strict=True)) for each in itertools.product(*choices)]
+    best = min(cost(inputs, each) for each in everything)
+    found = planner.plan(inputs)
+    assert found in everything
+    assert cost(inputs, found) == pytest.approx(best, abs=1e-4)
+    assert cost(inputs, greedy.assign(inputs)) >= best - 1e-9
+    settled = [msgspec.structs.replace(shard, owner=found[shard.name]) for shard in inputs.shards]
+    again = msgspec.structs.replace(inputs, shards=settled)
+    assert not moves(again, planner.plan(again))
+    assert planner.next_move(inputs, found) in {*moves(inputs, found), None}
+
+
+def test_without_a_solver_or_its_answer_the_plan_is_greedy(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    inputs = random_inputs(random.Random(3), 12, 4)
+    with monkeypatch.context() as patch:
+        patch.setitem(sys.modules, "ryewing.sharding.exact", None)
+        assert planner.plan(inputs) == greedy.assign(inputs)
+
+    def no_solution(*_args: object) -> None:
+        raise exact.NoSolutionError("time")
+
+    monkeypatch.setattr(exact, "assign", no_solution)
+    assert planner.plan(inputs) == greedy.assign(inputs)
+    with pytest.raises(planner.NoControllerError):
+        planner.plan(msgspec.structs.replace(inputs, nodes=[]))
