--- a/src/ryewing/cluster_state.py
+++ b/src/ryewing/cluster_state.py
@@ -12,18 +12,7 @@
 
 from .failures import FailureJudge
 from .jobs import Job, JobTable
-from .machine import (
-    ENDED,
-    FETCHING,
-    LIVE_PHASES,
-    PLANNED,
-    RUNNING,
-    SENT,
-    Assignment,
-    EndedAttempt,
-    Machine,
-    ran_well,
-)
+from .machine import LIVE_PHASES, Assignment, EndedAttempt, Machine, TaskPhase, ran_well
 from .stops import Stops
 from .units import (
     DRIFT,
@@ -83,7 +72,7 @@
     # -- holds ------------------------------------------------------------------------------
 
     def assign(
-        self, machine: Machine, task: TaskId, attempt: Attempt, phase: str, now: Steady
+        self, machine: Machine, task: TaskId, attempt: Attempt, phase: TaskPhase, now: Steady
     ) -> Assignment:
         """Put a task attempt on a machine."""
         job = self.job_table.get(task.job)
@@ -91,7 +80,7 @@
             job = None
         assignment = Assignment(machine, task, attempt, job, phase, now)
         machine.assignments[task] = assignment
-        if phase == PLANNED:
+        if phase == TaskPhase.PLANNED:
             self._planned.add(assignment)
         if job is not None:
             spec = job.spec
@@ -111,7 +100,7 @@
                 job.duplicates.setdefault(task.number, set()).add(other)
             job.live[task.number] = machine.id
             job.zones[machine.zone] += 1
-            if phase == RUNNING:
+            if phase == TaskPhase.RUNNING:
                 job.running += 1
                 assignment.running_since = now
             self.job_table.touch(job)
@@ -137,7 +126,7 @@
         self.team_cpus[team] -= spec.cpus
         self.team_gpus[team] -= spec.gpus
         job.zones[machine.zone] -= 1
-        if assignment.phase == RUNNING:
+        if assignment.phase == TaskPhase.RUNNING:
             job.running -= 1
         self._unassign(job, assignment.task.number, machine.id, finished)
         self.job_table.touch(job)
@@ -156,16 +145,16 @@
             if not finished:
                 job.hand_back(number)
 
-    def _set_phase(self, assignment: Assignment, phase: str, now: Steady) -> None:
+    def _set_phase(self, assignment: Assignment, phase: TaskPhase, now: Steady) -> None:
         if assignment.phase == phase:
             return
         job = assignment.job
         if job is not None:
-            if assignment.phase == RUNNING:
+            if assignment.phase == TaskPhase.RUNNING:
                 job.running -= 1
-            if phase == RUNNING:
+            if phase == TaskPhase.RUNNING:
                 job.running += 1
-        if phase == RUNNING and assignment.running_since is None:
+        if phase == TaskPhase.RUNNING and assignment.running_since is None:
             assignment.running_since = now
             assignment.start_observed = True
         assignment.phase = phase
@@ -258,7 +247,7 @@
     def drop_stale_plans(self, now: Steady, patience_s: float) -> None:
         """Give up plans whose machine did not come to fetch them: nothing was sent."""
         for assignment in list(self._planned):
-            if assignment.phase != PLANNED:
+            if assignment.phase != TaskPhase.PLANNED:
                 self._planned.discard(assignment)
             elif now - assignment.planned_at > patience_s:
                 self.drop(assignment, now)
@@ -301,7 +290,7 @@
         """The worker has killed and forgotten everything, and it drops responses to reports of the
         earlier session."""
         for assignment in list(machine.assignments.values()):
-            if assignment.phase != PLANNED:
+            if assignment.phase != TaskPhase.PLANNED:
                 self.drop(assignment, now)
         self.require_acknowledgement(machine, "new-session", now)
         machine.last_reported.clear()
@@ -309,7 +298,7 @@
 
     def _settle_starts(self, machine: Machine, now: Steady) -> None:
         """Drop starts that a later report does not show: shown, they would have another phase."""
-        for assignment in [a for a in machine.assignments.values() if a.phase == SENT]:
+        for assignment in [a for a in machine.assignments.values() if a.phase == TaskPhase.SENT]:
             if assignment.sent_after is not None and machine.version > assignment.sent_after:
                 self.drop(assignment, now)
                 self.require_acknowledgement(machine, "start-lost", now)
@@ -323,8 +312,9 @@
             machine.token_bumps += 1
             machine.required_acknowledgement = machine.token_bumps
             log.info("event=doubted machine=%s why=%s", machine.id, why)
-            for assignment in [h for h in machine.assignments.values() if h.phase == PLANNED]:
-                self.drop(assignment, now)
+            for assignment in list(machine.assignments.values()):
+                if assignment.phase == TaskPhase.PLANNED:
+                    self.drop(assignment, now)
 
     def restarted(self, machine: Machine, now: Steady) -> None:
         """Its worker began anew: it has forgotten its sessions, its token and its tasks.
@@ -352,7 +342,7 @@
         gone = before.keys() - shown.keys() if len(before) + len(news) > len(shown) else ()
         for key in gone:
             machine.ended.pop(key, None)
-            if before[key].status != ENDED:
+            if before[key].status != TaskPhase.ENDED:
                 task = parse_task(key[0])
                 assignment = machine.assignments.get(task) if task is not None else None
                 if assignment is not None and assignment.attempt == key[1]:
@@ -361,7 +351,7 @@
             task = parse_task(reported.task_id)
             if task is None:
                 continue
-            if reported.status == ENDED:
+            if reported.status == TaskPhase.ENDED:
                 self._apply_ended(machine, task, reported, now)
             elif reported.status in LIVE_PHASES:
                 self._apply_live(machine, task, reported, now)
@@ -371,23 +361,24 @@
     ) -> None:
         assignment = machine.assignments.get(task)
         attempt = Attempt(reported.attempt)
+        phase = TaskPhase(reported.status)
         if assignment is not None and assignment.attempt != attempt:
-            if assignment.phase == SENT:
+            if assignment.phase == TaskPhase.SENT:
                 # The worker refuses our start while the other attempt is there (`in_use`).
                 # Keep the room counted once, under what is really there.
                 log.warning("task=%s machine=%s event=other-attempt", task, machine.id)
             self.drop(assignment, now)
             assignment = None
         if assignment is None:
-            assignment = self.assign(machine, task, attempt, reported.status, now)
+            assignment = self.assign(machine, task, attempt, phase, now)
         else:
-            self._set_phase(assignment, reported.status, now)
+            self._set_phase(assignment, phase, now)
         if assignment.job is not None:
             spec = assignment.job.spec
-            slowdown = machine.record_fetch(spec, reported.status == FETCHING, now)
+            slowdown = machine.record_fetch(spec, phase == TaskPhase.FETCHING, now)
             if slowdown is not None:
                 self.fetch_slowdown += SLOWDOWN_WEIGHT * (slowdown - self.fetch_slowdown)
-            if reported.status != FETCHING:
+            if phase != TaskPhase.FETCHING:
                 machine.record_image(spec.image, spec.image_gb)
 
     def _apply_ended(
--- a/src/ryewing/dispatch.py
+++ b/src/ryewing/dispatch.py
@@ -13,7 +13,8 @@
 from gevent.pool import Group
 
 from .budget import Budget
-from .machine import PLANNED, RUNNING, SAVING, SENT, Assignment, Machine
+from .machine import Assignment, Machine, TaskPhase
+from .stops import StopReason
 from .term import TermContext
 from .units import (
     MAX_TOKEN_BUMPS,
@@ -133,13 +134,13 @@
         if self.ctx.job_table.dirty:
             self.ctx.write.set()
         for assignment in list(machine.assignments.values()):
-            if assignment.phase == PLANNED:
+            if assignment.phase == TaskPhase.PLANNED:
                 if machine.notice_s is not None:
                     self.ctx.cluster.drop(assignment, now)
                 continue
             job = assignment.job
             if job is None or job.cancelled:
-                self.stop_assignment(assignment, 0.0, "unwanted", now)
+                self.stop_assignment(assignment, 0.0, StopReason.UNWANTED, now)
             elif machine.notice_s is not None:
                 self._drain(assignment, machine, now)
         if len(machine.faults) >= FAULTS_MAX and not machine.quarantined:
@@ -162,16 +163,18 @@
     def _drain(self, assignment: Assignment, machine: Machine, now: Steady) -> None:
         """Save in time before the cloud takes the machine, or let short tasks finish."""
         job = assignment.job
-        if job is None or assignment.phase == SAVING or job.endless:
+        if job is None or assignment.phase == TaskPhase.SAVING or job.endless:
             return  # a replica serves on until the placer has room for it elsewhere
         left = (machine.notice_s or 0.0) - (now - machine.noticed_at)
-        if assignment.phase == RUNNING and assignment.running_since is not None:
+        if assignment.phase == TaskPhase.RUNNING and assignment.running_since is not None:
             remaining = job.estimate_s() - (now - assignment.running_since)
             if remaining < 0.7 * left:
                 return
-        self._stop_whole(assignment, job.grace_s, "drain", now)
+        self._stop_whole(assignment, job.grace_s, StopReason.DRAIN, now)
 
-    def _stop_whole(self, assignment: Assignment, grace_s: float, why: str, now: Steady) -> None:
+    def _stop_whole(
+        self, assignment: Assignment, grace_s: float, why: StopReason, now: Steady
+    ) -> None:
         """Stop a task; of a gang all of them, since an orderly stop needs every one told."""
         job = assignment.job
         if job is None or not job.gang or job.spec.task_count == 1:
@@ -181,11 +184,11 @@
             self.stop_assignment(mate, grace_s, why, now)
 
     def stop_assignment(
-        self, assignment: Assignment, grace_s: float, why: str, now: Steady
+        self, assignment: Assignment, grace_s: float, why: StopReason, now: Steady
     ) -> None:
         """Stop one task attempt: forget it if nothing was sent, else by a tombstone."""
         machine = assignment.machine
-        if assignment.phase == PLANNED:
+        if assignment.phase == TaskPhase.PLANNED:
             self.ctx.cluster.drop(assignment, now)
             return
         if self.ctx.stops.add(machine.id, assignment.task, assignment.attempt, grace_s, why, now):
@@ -206,11 +209,11 @@
             return commands
         version = ReportVersion(report.session, report.sequence)
         for assignment in machine.assignments.values():
-            if assignment.phase != PLANNED or len(commands) >= ORDERS_MAX:
+            if assignment.phase != TaskPhase.PLANNED or len(commands) >= ORDERS_MAX:
                 continue
             if assignment.job is None or assignment.job.cancelled:
                 continue
-            assignment.phase = SENT
+            assignment.phase = TaskPhase.SENT
             assignment.sent_after = version
             commands.append(Command("start", str(assignment.task), int(assignment.attempt)))
         return commands
@@ -291,7 +294,7 @@
         """Estimate how soon a worker reports next, so that a start can ride in the answer."""
         since = now - machine.heard_at if machine.heard_at is not None else math.inf
         due = max(0.0, self.ctx.settings.params.workers.report_s - since)
-        if any(assignment.phase == SENT for assignment in machine.assignments.values()):
+        if any(assignment.phase == TaskPhase.SENT for assignment in machine.assignments.values()):
             return due
         if self._may_bump_token(machine, now) or (machine.ended and self._clears(machine)):
             return min(due, max(0.1, REPORT_GAP_S - since))
@@ -310,7 +313,7 @@
             return
         if not urgent and now - machine.heard_at > EARLY_REPORT_WITHIN * times.report_s:
             return  # the next report is due anyway
-        if any(assignment.phase == SENT for assignment in machine.assignments.values()):
+        if any(assignment.phase == TaskPhase.SENT for assignment in machine.assignments.values()):
             # A response with the lower token, overtaken by this, would be dropped.
             return
         clears = bool(machine.ended) and bool(self._clears(machine))
--- a/src/ryewing/failures.py
+++ b/src/ryewing/failures.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from .jobs import Job
-from .machine import PLANNED, RUNNING, Machine, ran_well
+from .machine import Assignment, Machine, TaskPhase, ran_well
 from .units import JobId, Steady
 
 if TYPE_CHECKING:
@@ -73,10 +73,14 @@
 
     def serves(self, job: Job, now: Steady) -> bool:
         """Tell whether a task of the job runs well, and has for a while."""
-        return any(
-            assignment.phase == RUNNING and ran_well(assignment, now)
+        return bool(self._running_well(job, now))
+
+    def _running_well(self, job: Job, now: Steady) -> list[Assignment]:
+        return [
+            assignment
             for assignment in self._cluster.assignments_of(job)
-        )
+            if assignment.phase == TaskPhase.RUNNING and ran_well(assignment, now)
+        ]
 
     def _back_off(self, job: Job, now: Steady) -> None:
         """The job is at fault, not the machines that it failed on: back off, longer each time."""
@@ -85,10 +89,9 @@
         job.backoff_until = Steady(now + job.backoff_s)
         if not job.gang:
             for assignment in self._cluster.assignments_of(job):
-                if assignment.phase == PLANNED:
-                    self._cluster.drop(
-                        assignment, now
-                    )  # nothing was sent: it need not fail as well
+                if assignment.phase == TaskPhase.PLANNED:
+                    # Nothing was sent: it need not fail as well.
+                    self._cluster.drop(assignment, now)
         log.warning(
             "job=%s event=backed-off for_s=%g machines=%d",
             job.id,
@@ -116,9 +119,7 @@
 
     def recovered(self, job: Job, now: Steady) -> bool:
         """See whether a job that backed off runs well after all; if so, take the delay back."""
-        well = [
-            h for h in self._cluster.assignments_of(job) if h.phase == RUNNING and ran_well(h, now)
-        ]
+        well = self._running_well(job, now)
         if not well:
             return False
         job.backoff_s = 0.0
@@ -168,7 +169,7 @@
         elsewhere = {
             assignment.machine.id
             for assignment in self._cluster.assignments_of(job)
-            if assignment.phase == RUNNING
+            if assignment.phase == TaskPhase.RUNNING
         } - job.failed_on.keys()
         if len(job.failed_on) > len(elsewhere):
             # Not so if it finished tasks or runs on more machines than it failed on: among
--- a/src/ryewing/intake.py
+++ b/src/ryewing/intake.py
@@ -9,6 +9,7 @@
 
 from .dispatch import Dispatch
 from .jobs import LIVE_PREFIX, Job, JobRecord, read_record
+from .stops import StopReason
 from .store import StoreUnavailableError, WatchExpiredError
 from .term import TermContext
 from .units import JobId, KeyVersion, Revision, Steady, steady_now
@@ -74,7 +75,7 @@
             self.ctx.cluster.failures.clear_faults(job)
         now = steady_now()
         for assignment in self.ctx.cluster.assignments_of(job):
-            self.dispatch.stop_assignment(assignment, 0.0, "cancelled", now)
+            self.dispatch.stop_assignment(assignment, 0.0, StopReason.CANCELLED, now)
         self.ctx.write.set()
 
     def watch_loop(self) -> None:
--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -16,17 +16,14 @@
 
 from .dispatch import PROBE_AFTER, Dispatch
 from .intake import Intake
-from .leadership import Leadership
 from .mesh import ImageHint
 from .placer import Placer
-from .policy import Policy
 from .recovery import Recovery
 from .renter import Renter
-from .settings import Settings
-from .store import LeaseLostError, Store, StoreUnavailableError
+from .store import LeaseLostError, StoreUnavailableError
 from .term import TermContext
 from .units import JobId, KeyVersion, Steady, Term, steady_now
-from .wire import JobStatus, MachineType, Report, ReportAnswer
+from .wire import JobStatus, Report, ReportAnswer
 from .writer import Writer
 
 log = logging.getLogger("ryewing.leader")
@@ -50,17 +47,12 @@
 
     def __init__(
         self,
-        settings: Settings,
-        policy: Policy,
-        store: Store,
-        leadership: Leadership,
+        ctx: TermContext,
         on_final: Callable[[JobId, str], None],
-        on_lost: Callable[[str], None],
-        on_machine_types: Callable[[dict[str, MachineType]], None],
         hint: ImageHint | None = None,
     ) -> None:
         self._hint = hint
-        self.ctx = TermContext(settings, policy, store, leadership, on_lost, on_machine_types)
+        self.ctx = ctx
         self.writer = Writer(self.ctx, on_final, self._on_record)
         self.dispatch = Dispatch(self.ctx, self.writer)
         self.intake = Intake(self.ctx, self.writer, self.dispatch)
--- a/src/ryewing/machine.py
+++ b/src/ryewing/machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections import Counter, OrderedDict
 from typing import NamedTuple
 
@@ -18,14 +19,6 @@
 )
 from .wire import JobSpec, MachineType, ReportedTask
 
-PLANNED = "planned"
-SENT = "sent"
-FETCHING = "fetching"
-GATHERING = "gathering"
-RUNNING = "running"
-SAVING = "saving"
-ENDED = "ended"
-LIVE_PHASES = frozenset((FETCHING, GATHERING, RUNNING, SAVING))
 RAN_WELL_S = 15.0
 """A replica that ran for so long did not fail at its start."""
 WARM, FETCHED_NOW, COLD = range(3)
@@ -41,6 +34,24 @@
 its end seconds late."""
 
 
+class TaskPhase(enum.StrEnum):
+    """Where a task attempt is: what the leader has decided, then what the worker reports."""
+
+    PLANNED = "planned"
+    SENT = "sent"
+    FETCHING = "fetching"
+    GATHERING = "gathering"
+    RUNNING = "running"
+    SAVING = "saving"
+    ENDED = "ended"
+
+
+LIVE_PHASES = frozenset(
+    (TaskPhase.FETCHING, TaskPhase.GATHERING, TaskPhase.RUNNING, TaskPhase.SAVING)
+)
+"""What a worker reports of an attempt that is on its machine."""
+
+
 class Assignment:
     """One task attempt on a machine: planned, assumed, or reported."""
 
@@ -62,7 +73,7 @@
         task: TaskId,
         attempt: Attempt,
         job: Job | None,
-        phase: str,
+        phase: TaskPhase,
         now: Steady,
     ) -> None:
         self.machine = machine
--- a/src/ryewing/mesh.py
+++ b/src/ryewing/mesh.py
@@ -25,8 +25,8 @@
 IDLE_S = 60.0
 KEPT_CONNECTIONS = 4
 REQUESTS_AT_ONCE = 32
-"""Asks to one controller that may wait for their answers: each takes a socket and a greenlet, and
-one that is silent answers none, while users ask many times as often."""
+"""Requests to one controller that may wait for their answers: each takes a socket and a greenlet,
+and one that is silent answers none, while users ask many times as often."""
 
 
 class PollJob(msgspec.Struct, tag="poll"):
@@ -132,25 +132,25 @@
 
 
 class Peer:
-    """Asks to one other controller, over a few kept connections."""
+    """Requests to one other controller, over a few kept connections."""
 
     def __init__(self, address: Address) -> None:
         self._address = address
         self._idle: deque[socket.socket] = deque()
         self.in_flight = 0
-        """Asks that wait for their answer."""
+        """Requests that wait for their answer."""
 
-    def request(self, ask: Request, deadline_s: float) -> Response:
+    def request(self, request: Request, deadline_s: float) -> Response:
         """Ask, and wait for the answer; raise PeerUnavailableError without one."""
         if self.in_flight >= REQUESTS_AT_ONCE:
-            raise PeerUnavailableError("too many asks under way")
+            raise PeerUnavailableError("too many requests under way")
         self.in_flight += 1
         try:
-            return self._exchange(ask, deadline_s)
+            return self._exchange(request, deadline_s)
         finally:
             self.in_flight -= 1
 
-    def _exchange(self, ask: Request, deadline_s: float) -> Response:
+    def _exchange(self, request: Request, deadline_s: float) -> Response:
         sock: socket.socket | None = self._idle.pop() if self._idle else None
         done = False
         try:
@@ -159,7 +159,7 @@
                     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                     sock.connect(self._address)
-                _write_frame(sock, ask)
+                _write_frame(sock, request)
                 answer = _response_decoder.decode(_read_frame(sock))
                 done = True
                 return answer
--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -43,6 +43,7 @@
 from .policy import Policy
 from .settings import Settings, parse_address
 from .store import Store, StoreUnavailableError, WatchExpiredError, readable
+from .term import TermContext
 from .transport import Reply
 from .units import JobId, NodeName, Revision, Steady, Term, steady_now
 from .user_quota import UserQuota
@@ -165,16 +166,15 @@
         )
         if leadership is None:
             return False
-        leader = Leader(
+        term = TermContext(
             self.settings,
             self.policy,
             self.store,
             leadership,
-            self.finals.put,
             self._step_down,
             self._set_machine_types,
-            self._hint,
         )
+        leader = Leader(term, self.finals.put, self._hint)
         log.info(
             "event=leading node=%s term=%d version=%s", self.name, leadership.term, __version__
         )
@@ -301,8 +301,8 @@
         else:
             # The holder is dead, or cut from here. One that can reach the store sees the cancel in
             # its watch; one that can't loses its authority. So once that time is over since the
-            # mark was seen here, no ask is needed. Counted by our own steady clock: by the time at
-            # which the cancel was meant to be written, one carried out late was told before the
+            # mark was seen here, no request is needed. Counted by our own steady clock: by the time
+            # at which the cancel was meant to be written, one carried out late was told before the
             # leader could know.
             known = steady_now() - seen_at > self.policy.store_lease_s + CANCEL_KNOWN_S
         if known:
@@ -319,9 +319,9 @@
         answer = self._request(peer, CancelNotice(job)) if peer is not None else None
         return isinstance(answer, Ack) and answer.ok
 
-    def _request(self, peer: Peer, ask: Request) -> Response | None:
+    def _request(self, peer: Peer, request: Request) -> Response | None:
         try:
-            return peer.request(ask, MESH_S)
+            return peer.request(request, MESH_S)
         except PeerUnavailableError as error:
             log.debug("event=peer-silent error=%s", error)
             return None
@@ -336,26 +336,26 @@
 
     # -- the mesh ---------------------------------------------------------------------------
 
-    def _on_mesh(self, ask: Request) -> Response:
-        if isinstance(ask, PollJob):
-            return self._on_poll(JobId(ask.job))
-        if isinstance(ask, CancelNotice):
+    def _on_mesh(self, request: Request) -> Response:
+        if isinstance(request, PollJob):
+            return self._on_poll(JobId(request.job))
+        if isinstance(request, CancelNotice):
             leader = self.leader
-            return Ack(leader is not None and leader.take_cancel(JobId(ask.job)))
-        if isinstance(ask, LoadQuery):
+            return Ack(leader is not None and leader.take_cancel(JobId(request.job)))
+        if isinstance(request, LoadQuery):
             return Ack(self.leader is None or not self.leader.full())
-        if isinstance(ask, ImageHint):
-            if self._hint is None or ask.term >= self._hint.term:
-                self._hint = ask
+        if isinstance(request, ImageHint):
+            if self._hint is None or request.term >= self._hint.term:
+                self._hint = request
             return Ack(True)
-        if isinstance(ask, LeaderNotice):
-            if self.leader is not None and ask.term > self.leader.term:
+        if isinstance(request, LeaderNotice):
+            if self.leader is not None and request.term > self.leader.term:
                 self._step_down("notice")
-            if ask.term >= self._leader_term and self.leader is None:
-                self._leader_name = ask.node
-                self._leader_term = Term(ask.term)
+            if request.term >= self._leader_term and self.leader is None:
+                self._leader_name = request.node
+                self._leader_term = Term(request.term)
             return Ack(True)
-        return self._on_relay(ask)
+        return self._on_relay(request)
 
     def _on_poll(self, job: JobId) -> JobState:
         final = self.finals.get(job)
@@ -366,11 +366,11 @@
             return JobState()
         return JobState(state.status, state.done, state.running)
 
-    def _on_relay(self, ask: RelayRequest) -> RelayResponse:
+    def _on_relay(self, request: RelayRequest) -> RelayResponse:
         if not self._relay_budget.take():
             return RelayResponse(0)
         try:
-            reply = self.store.raw(ask.method, ask.path, ask.body, 0.5)
+            reply = self.store.raw(request.method, request.path, request.body, 0.5)
         except StoreUnavailableError:
             return RelayResponse(0)
         return RelayResponse(reply.status, reply.body)
--- a/src/ryewing/placer.py
+++ b/src/ryewing/placer.py
@@ -18,7 +18,8 @@
 from .dispatch import Dispatch
 from .failures import AVOID_S
 from .jobs import Job, fits_machine_type
-from .machine import FETCHING, PLANNED, RUNNING, SAVING, WARM, Assignment, Machine
+from .machine import WARM, Assignment, Machine, TaskPhase
+from .stops import StopReason
 from .term import TermContext
 from .units import (
     MAX_ATTEMPTS,
@@ -206,14 +207,14 @@
             machine = self.ctx.cluster.machines[name]
             self.dispatch.request_early_report(machine, now, name in serving)
         for assignment in plan.stops:
-            self._stop(assignment, "preempted", now)
+            self._stop(assignment, StopReason.PREEMPTED, now)
         for assignment in plan.moves:
-            self._stop(assignment, "moved", now)
+            self._stop(assignment, StopReason.MOVED, now)
             if assignment.job is not None:
                 self._moved_at[assignment.job.spec.job_class] = now
         self.unplaced = plan.unplaced
 
-    def _stop(self, assignment: Assignment, why: str, now: Steady) -> None:
+    def _stop(self, assignment: Assignment, why: StopReason, now: Steady) -> None:
         grace_s = assignment.job.grace_s if assignment.job is not None else 0.0
         self.dispatch.stop_assignment(assignment, grace_s, why, now)
 
@@ -242,7 +243,7 @@
                 if assignment.job is not None
                 and assignment.job.endless
                 and not assignment.job.cancelled
-                and assignment.phase in (FETCHING, RUNNING)
+                and assignment.phase in (TaskPhase.FETCHING, TaskPhase.RUNNING)
                 and not self.ctx.stops.has(machine.id, assignment.task, assignment.attempt)
             )
         # Of those that may as well stay only as many as their class hardly misses.
@@ -343,7 +344,7 @@
         assignments = self.ctx.cluster.assignments_of(job)
         attempts = {assignment.attempt for assignment in assignments}
         waiting = all(
-            assignment.phase not in (RUNNING, SAVING)
+            assignment.phase not in (TaskPhase.RUNNING, TaskPhase.SAVING)
             and not self.ctx.stops.has(assignment.machine.id, assignment.task, assignment.attempt)
             for assignment in assignments
         )
@@ -352,7 +353,7 @@
             return True
         if job.done_count == 0:
             for assignment in assignments:
-                self.dispatch.stop_assignment(assignment, 0.0, "gang-broken", now)
+                self.dispatch.stop_assignment(assignment, 0.0, StopReason.GANG_BROKEN, now)
         return False
 
     def _avoid(self, job: Job, machine: Machine) -> bool:
@@ -386,7 +387,9 @@
         for machine, n in batch.parts:
             for index in indices[at : at + n]:
                 attempt = gang_attempt or self._next_attempt()
-                self.ctx.cluster.assign(machine, TaskId(job.id, index), attempt, PLANNED, now)
+                self.ctx.cluster.assign(
+                    machine, TaskId(job.id, index), attempt, TaskPhase.PLANNED, now
+                )
             at += n
         job.waiting_since = None
         self.ctx.job_table.touch(job)
--- a/src/ryewing/preemption.py
+++ b/src/ryewing/preemption.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from .jobs import EPSILON, Job
-from .machine import SAVING, Assignment
+from .machine import Assignment, TaskPhase
 from .settings import Team
 from .units import Steady
 
@@ -81,7 +81,7 @@
     one task of them loses the whole gang.
     """
     other = assignment.job
-    if other is None or other.guaranteed or assignment.phase == SAVING:
+    if other is None or other.guaranteed or assignment.phase == TaskPhase.SAVING:
         return False
     if other.gang and other.spec.task_count > 1:
         return False
--- a/src/ryewing/stops.py
+++ b/src/ryewing/stops.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Iterator
 
 from .units import Attempt, MachineId, Steady, TaskId
@@ -14,6 +15,19 @@
 RESEND_S = 1.0
 
 
+class StopReason(enum.StrEnum):
+    """Why a task is stopped."""
+
+    CANCELLED = "cancelled"
+    PREEMPTED = "preempted"
+    DRAIN = "drain"
+    GANG_BROKEN = "gang-broken"
+    UNWANTED = "unwanted"
+    """Its job has ended, or is not known."""
+    MOVED = "moved"
+    """A replica that is to run elsewhere."""
+
+
 class Tombstone:
     """One stop that is under way."""
 
@@ -25,7 +39,7 @@
         task: TaskId,
         attempt: Attempt,
         grace_s: float,
-        why: str,
+        why: StopReason,
         now: Steady,
     ) -> None:
         self.machine = machine
@@ -53,7 +67,7 @@
         task: TaskId,
         attempt: Attempt,
         grace_s: float,
-        why: str,
+        why: StopReason,
         now: Steady,
     ) -> bool:
         """Ask for a stop; a later ask can only shorten the grace period. True if it is news."""
--- a/src/ryewing/store.py
+++ b/src/ryewing/store.py
@@ -205,9 +205,9 @@
             since = page.entries[-1].key
 
     def listing(self, prefix: str) -> tuple[list[Entry], Revision]:
-        """Read every key with the prefix, and the epoch from which to watch.
+        """Read every key with the prefix, and the revision from which to watch.
 
-        The first page's epoch counts: changes during the reading are seen by the watch again.
+        The first page's revision counts: changes during the reading are seen by the watch again.
         """
         entries: list[Entry] = []
         revision: int | None = None
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -13,6 +13,7 @@
 from ryewing.mesh import ImageHint
 from ryewing.settings import NextLimits
 from ryewing.store import Put
+from ryewing.term import TermContext
 from ryewing.units import JobId, KeyVersion, MachineId, Token
 from ryewing.wire import Command, Report
 
@@ -56,16 +57,15 @@
         won = leadership(term, authority)
         result = self.store.txn({}, [Put(TERM_KEY, {"term": term})])
         won.term_key_version = KeyVersion(result.revision)
-        leader = Leader(
+        ctx = TermContext(
             self.settings,
             policy(),
             self.store,  # type: ignore[arg-type]
             won,
-            self.finals.__setitem__,
             self.lost.append,
-            lambda _flavours: None,
-            hint,
+            lambda _machine_types: None,
         )
+        leader = Leader(ctx, self.finals.__setitem__, hint)
         leader.renter.cloud = leader.renter.listing.cloud = self.cloud  # type: ignore[assignment]
         leader.dispatch.workers = DirectWorkers(self.workers)  # type: ignore[assignment]
         leader.ctx.set_machine_types(self.cloud.machine_types())
--- a/tests/placement_world.py
+++ b/tests/placement_world.py
@@ -13,7 +13,7 @@
 from ryewing.capacity import NO_RESERVE, MachineCapacity, Quota
 from ryewing.cluster_state import ClusterState
 from ryewing.jobs import Job, JobRecord, JobTable
-from ryewing.machine import RUNNING, Assignment, Machine
+from ryewing.machine import Assignment, Machine, TaskPhase
 from ryewing.stops import Stops
 from ryewing.units import (
     Attempt,
@@ -53,7 +53,7 @@
 
     def put(self, one: Job, machine: Machine, count: int) -> None:
         for index in one.take(count):
-            self.cluster.assign(machine, TaskId(one.id, index), Attempt(1), RUNNING, T0)
+            self.cluster.assign(machine, TaskId(one.id, index), Attempt(1), TaskPhase.RUNNING, T0)
 
     def plan(
         self,
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -16,7 +16,7 @@
 from ryewing.capacity import MachineCapacity, Quota
 from ryewing.cluster_state import ClusterState
 from ryewing.jobs import Job, JobRecord, JobTable
-from ryewing.machine import RUNNING, Assignment
+from ryewing.machine import Assignment, TaskPhase
 from ryewing.settings import Team
 from ryewing.stops import Stops
 from ryewing.units import Attempt, KeyVersion, MachineId, Steady, TaskId, Term, WallTime, Zone
@@ -87,7 +87,9 @@
             for machine, count in batch.parts:
                 for number in batch.job.take(count):
                     task = TaskId(batch.job.id, number)
-                    self.cluster.assign(machine, task, Attempt(1), RUNNING, Steady(self.now))
+                    self.cluster.assign(
+                        machine, task, Attempt(1), TaskPhase.RUNNING, Steady(self.now)
+                    )
 
 
 ONE = {"shape": "group", "priority": "urgent", "task_count": 1, "cpus": 30.0, "estimated_s": 60.0}
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -13,7 +13,7 @@
 from ryewing.cloud import PAGE_MAX, RELEASE_MAX, RENT_MAX
 from ryewing.dispatch import SENDS_AT_ONCE, sends_at_once
 from ryewing.listing import LIST_SHARE
-from ryewing.machine import PLANNED
+from ryewing.machine import TaskPhase
 from ryewing.mesh import FRAME_MAX, ImageHint
 from ryewing.placer import ATTEMPTS_LEFT, NAMES_TOLD, name_some
 from ryewing.renter import RELEASED_KEPT
@@ -76,7 +76,7 @@
             name: {assignment.phase for assignment in machine.assignments.values()}
             for name, machine in machines.items()
         }
-        self.report([name for name, found in phases.items() if PLANNED in found])
+        self.report([name for name, found in phases.items() if TaskPhase.PLANNED in found])
 
     def report(self, names: Iterable[str]) -> None:
         """Let some workers report, of those that can speak, and execute their answers."""
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -12,7 +12,7 @@
 
 from ryewing.jobs import JobRecord, final_key, live_key
 from ryewing.leadership import campaign, read_view
-from ryewing.machine import COLD, GATHERING, PLANNED, RUNNING, SENT, WARM
+from ryewing.machine import COLD, WARM, TaskPhase
 from ryewing.mesh import ImageHint
 from ryewing.store import Put, StoreUnavailableError
 from ryewing.units import KeyVersion, MachineId, NodeName, Term, token_of
@@ -94,9 +94,9 @@
     assert len(starts(answer.commands)) == 1
     machine = harness.leader.ctx.cluster.machines[MachineId(worker.name)]
     harness.leader.dispatch.send(machine)  # the body of /orders does not show the task
-    assert list(harness.assignments().values()) == [SENT]
+    assert list(harness.assignments().values()) == [TaskPhase.SENT]
     harness.leader.placer.run_pass()
-    assert list(harness.assignments().values()) == [SENT]
+    assert list(harness.assignments().values()) == [TaskPhase.SENT]
     assert not starts(harness.exchange(worker))  # a later report: never executed, given up
     assert harness.assignments() == {}
 
@@ -143,14 +143,14 @@
     answer = harness.leader.on_report(late)
     assert answer is not None
     assert not starts(answer.commands)
-    assert list(harness.assignments().values()) == [PLANNED]
+    assert list(harness.assignments().values()) == [TaskPhase.PLANNED]
 
 
 def test_a_new_session_has_forgotten_everything(harness: LeaderHarness) -> None:
     worker = harness.ready_worker()
     harness.begin(worker, task_count=1)
     harness.exchange(worker)
-    assert list(harness.assignments().values()) == [RUNNING]
+    assert list(harness.assignments().values()) == [TaskPhase.RUNNING]
     worker.session += 1
     worker.sequence = 0
     worker.tasks.clear()
@@ -234,7 +234,7 @@
     harness.leader.renter.release(harness.leader.renter.to_give_up(harness.clock()))
     assert harness.cloud.released == ["i-000001"]
     harness.place()
-    assert harness.assignments("i-000002") == {"run-1/0": PLANNED}
+    assert harness.assignments("i-000002") == {"run-1/0": TaskPhase.PLANNED}
     assert harness.leader.on_report(silent.report()) is None  # a late report of a gone machine
 
 
@@ -328,7 +328,9 @@
     for worker in workers:
         harness.exchange(worker)
         for key, reported in worker.tasks.items():
-            worker.tasks[key] = ReportedTask(reported.task_id, reported.attempt, GATHERING)
+            worker.tasks[key] = ReportedTask(
+                reported.task_id, reported.attempt, TaskPhase.GATHERING
+            )
     attempts = {attempt for worker in workers for _, attempt in worker.tasks}
     assert len(attempts) == 1
     for worker in workers:
--- a/tests/test_replica_placement.py
+++ b/tests/test_replica_placement.py
@@ -12,7 +12,7 @@
 from services import SERVICE, replicas, serve
 
 from ryewing.fleet import to_retire
-from ryewing.machine import RUNNING, Assignment, Machine
+from ryewing.machine import Assignment, Machine, TaskPhase
 from ryewing.placement import SHORT_WAIT_S
 from ryewing.placer import MOVE_AFTER_S, MOVE_GAP_S, MOVE_SHARE
 from ryewing.units import Attempt, MachineId, Steady, TaskId
@@ -149,7 +149,7 @@
             for machine, count in batch.parts:
                 for index in service.take(count):
                     task = TaskId(service.id, index)
-                    world.cluster.assign(machine, task, Attempt(1), RUNNING, T0)
+                    world.cluster.assign(machine, task, Attempt(1), TaskPhase.RUNNING, T0)
         assert max(service.zones.values()) <= (tasks + 1) // 2
         assert not service.shortfall
         lost = rng.choice([m for m in world.cluster.machines.values() if m.assignments])
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -17,7 +17,7 @@
 from ryewing.cluster_state import ClusterState
 from ryewing.dispatch import sends_at_once
 from ryewing.jobs import DONE_PREFIX, Job, JobRecord, JobTable, live_key
-from ryewing.machine import RUNNING
+from ryewing.machine import TaskPhase
 from ryewing.mesh import ImageHint
 from ryewing.node import API_SHARE, MESH_SHARE
 from ryewing.paged_records import PagedRecords
@@ -66,7 +66,7 @@
         for machine in self.cluster.machines.values():
             while not machine.machine_type.gpus and machine.cpus >= one.spec.cpus:
                 task = TaskId(one.id, next(numbers))
-                self.cluster.assign(machine, task, Attempt(1), RUNNING, T0)
+                self.cluster.assign(machine, task, Attempt(1), TaskPhase.RUNNING, T0)
 
     def plan(self, *jobs: Job) -> placement.Plan:
         teams = {team.name: team for team in settings().params.teams}
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -4,7 +4,7 @@
 
 from placement_world import T0
 
-from ryewing.stops import RESEND_S, Stops
+from ryewing.stops import RESEND_S, StopReason, Stops
 from ryewing.units import (
     Attempt,
     JobId,
@@ -17,13 +17,13 @@
 def test_tombstones_are_resent_until_gone() -> None:
     stops = Stops()
     machine, task, attempt = MachineId("i-1"), TaskId(JobId("run-1"), 0), Attempt(7)
-    assert stops.add(machine, task, attempt, 5.0, "drain", T0)
-    assert not stops.add(machine, task, attempt, 9.0, "drain", T0)  # mercy only shrinks
+    assert stops.add(machine, task, attempt, 5.0, StopReason.DRAIN, T0)
+    assert not stops.add(machine, task, attempt, 9.0, StopReason.DRAIN, T0)  # mercy only shrinks
     assert list(stops.due(T0)) == [machine]
     assert [command.grace_s for command in stops.commands(machine, T0)] == [5.0]
     assert list(stops.due(T0)) == []
     assert list(stops.due(Steady(T0 + RESEND_S))) == [machine]
-    assert stops.add(machine, task, attempt, 0.0, "cancelled", T0)
+    assert stops.add(machine, task, attempt, 0.0, StopReason.CANCELLED, T0)
     assert list(stops.due(T0)) == [machine]
     stops.gone(machine, task, Attempt(8))  # another attempt
     assert stops.has(machine, task, attempt)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -15,7 +15,7 @@
 
 from ryewing.dispatch import ORDERS_MAX
 from ryewing.leadership import campaign, may_campaign, read_view
-from ryewing.machine import PLANNED, RUNNING, SENT
+from ryewing.machine import TaskPhase
 from ryewing.store import Store, StoreUnavailableError
 from ryewing.transport import Reply
 from ryewing.units import JobId, MachineId, NodeName, Term, token_of
@@ -136,7 +136,9 @@
     if not alive and age_s > 4.5:
         assert answer is None
         assert machine.may_hold_until == (None if gone else until)
-    assert sorted(harness.assignments().values()) == ([] if gone else [RUNNING, RUNNING])
+    assert sorted(harness.assignments().values()) == (
+        [] if gone else [TaskPhase.RUNNING, TaskPhase.RUNNING]
+    )
     assert machine.handshaken
 
 
@@ -167,11 +169,11 @@
     before = worker.report()
     harness.leader.on_report(before)
     [phase] = harness.assignments().values()
-    assert phase == SENT
+    assert phase == TaskPhase.SENT
     for late in (1.0, 6.0):
         harness.later(late)
         harness.leader.on_report(copy.deepcopy(before))
-        assert list(harness.assignments().values()) == [SENT]
+        assert list(harness.assignments().values()) == [TaskPhase.SENT]
 
 
 def test_copies_at_the_next_leader_give_no_work_and_end_with_their_lease(
@@ -248,7 +250,7 @@
     harness.leader.dispatch.send(machine)
     assert harness.assignments() == {}
     harness.place()
-    assert list(harness.assignments().values()) == [PLANNED, PLANNED]
+    assert list(harness.assignments().values()) == [TaskPhase.PLANNED, TaskPhase.PLANNED]
 
 
 def test_a_direct_answer_overtaken_by_a_report_is_no_restart(harness: LeaderHarness) -> None:
@@ -267,7 +269,7 @@
 
     harness.leader.dispatch.workers = Overtaken()  # type: ignore[assignment]
     harness.leader.dispatch.send(machine)
-    assert list(harness.assignments().values()) == [RUNNING, RUNNING]
+    assert list(harness.assignments().values()) == [TaskPhase.RUNNING, TaskPhase.RUNNING]
 
 
 @pytest.mark.parametrize(
