--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from cluster import NAMES, Cluster, TimedWorker
+from cluster import Cluster
+from timed_workers import NAMES, TimedWorker
 
 Scenario = Callable[[Cluster], None]
 
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -7,8 +7,9 @@
 
 import msgspec
 import pytest
-from cluster import NAMES, Cluster
+from cluster import Cluster
 from scenarios import Scenario, running, serving
+from timed_workers import NAMES
 
 from ryewing.store import Put
 from ryewing.units import Revision
--- a/tests/test_compound_failures.py
+++ b/tests/test_compound_failures.py
@@ -11,9 +11,10 @@
 
 import msgspec
 import pytest
-from cluster import NAMES, Cluster
+from cluster import Cluster
 from fakes import job_spec
 from scenarios import Scenario, running, serving
+from timed_workers import NAMES
 
 from ryewing.jobs import JobRecord
 from ryewing.wire import ReportedTask
--- a/tests/test_sharding.py
+++ b/tests/test_sharding.py
@@ -9,8 +9,8 @@
 
 import msgspec
 import pytest
-from cluster import StoreLink, TimedStore
 from fakes import RAW_SETTINGS, Clock, settings
+from timed_store import StoreLink, TimedStore
 
 from ryewing.cli import main
 from ryewing.sharding import exact, greedy, planner
--- a/tests/test_user_quota.py
+++ b/tests/test_user_quota.py
@@ -7,8 +7,10 @@
 from typing import Any
 
 import pytest
-from cluster import NAMES, STEP_S, Cluster, StoreLink
+from cluster import Cluster
 from placement_world import T0
+from timed_store import StoreLink
+from timed_workers import NAMES, STEP_S
 
 from ryewing.budget import Budget
 from ryewing.store import ThrottledError
--- /dev/null
+++ b/tests/timed_store.py
@@ -0,0 +1,146 @@
+"""A store whose leases end by the clock, and one controller's way to it with its failures."""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable
+
+import msgspec
+from fakes import (
+    Clock,
+    FakeStore,
+)
+
+from ryewing.store import Put, Remove, StoreUnavailableError, TxnResult
+from ryewing.units import KeyVersion, Revision
+from ryewing.wire import Change, ChangeLog, Entry
+
+
+class TimedStore(FakeStore):
+    """A store whose leases end by the clock, and get their full time again after an outage."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__()
+        self._clock = clock
+        self._ends: dict[int, tuple[float, float]] = {}
+
+    def grant(self, ttl_s: float) -> int:
+        lease = super().grant(ttl_s)
+        self._ends[lease] = (self._clock() + ttl_s, ttl_s)
+        return lease
+
+    def renew(self, lease: int, deadline_s: float) -> None:
+        super().renew(lease, deadline_s)
+        _, ttl_s = self._ends[lease]
+        self._ends[lease] = (self._clock() + ttl_s, ttl_s)
+
+    def plant(self, key: str, data: bytes, lease: int | None = None) -> None:
+        """Put something there that no controller wrote."""
+        self.revision += 1
+        self.data[key] = (data, self.revision, lease)
+        self.log.append(Change(self.revision, set=key, data=msgspec.Raw(data)))
+
+    def tend(self) -> None:
+        """End the leases whose time is over."""
+        now = self._clock()
+        for lease in list(self.leases):
+            until, ttl_s = self._ends[lease]
+            if self.down:
+                self._ends[lease] = (now + ttl_s, ttl_s)
+            elif now >= until:
+                self.expire(lease)
+
+
+class StoreLink:
+    """One controller's way to the store."""
+
+    def __init__(self, store: TimedStore) -> None:
+        self._store = store
+        self.limits = store.limits
+        self.on_throttled: Callable[[], None] | None = None
+        self.refused = False
+        """The store turns this controller away, with 503 or by silence."""
+        self.mute_watch = False
+        """Its watches alone hang; all else is answered."""
+        self.during_watch: Callable[[], None] | None = None
+        """Called while a watch is under way, after the store has answered it."""
+        self.stale_watch: Revision | None = None
+        """Its watches show nothing newer than this: answers that were long on their way."""
+        self.answer_lost = False
+        """Transactions are carried out, their answers don't arrive."""
+        self.late = False
+        """Transactions get no answer now and are carried out when `catch_up` is called."""
+        self._held: list[tuple[dict[str, KeyVersion], list[Put | Remove]]] = []
+        self.after_txn: Callable[[], None] | None = None
+        """Called when a transaction has been carried out, before its answer arrives."""
+        self.before_answer: Callable[[str], None] | None = None
+        """Called with the key of a reading that is under way, after the store has read it."""
+
+    def _check(self) -> None:
+        if self.refused:
+            raise StoreUnavailableError("503")
+
+    def get(self, key: str) -> Entry | None:
+        self._check()
+        found = self._store.get(key)
+        self._interrupt(key)
+        return found
+
+    def listing(self, prefix: str) -> tuple[list[Entry], Revision]:
+        self._check()
+        found = self._store.listing(prefix)
+        self._interrupt(prefix)
+        return found
+
+    def _interrupt(self, key: str) -> None:
+        if self.before_answer is not None:
+            hook, self.before_answer = self.before_answer, None
+            hook(key)
+            if self.before_answer is None:
+                self.before_answer = hook
+
+    def txn(self, conditions: dict[str, KeyVersion], writes: list[Put | Remove]) -> TxnResult:
+        self._check()
+        if self.late:
+            self._held.append((dict(conditions), copy.deepcopy(list(writes))))
+            raise StoreUnavailableError("no answer")
+        result = self._store.txn(conditions, writes)
+        if self.after_txn is not None:
+            meanwhile, self.after_txn = self.after_txn, None
+            meanwhile()
+        if self.answer_lost:
+            raise StoreUnavailableError("the answer was lost")
+        return result
+
+    def catch_up(self) -> None:
+        """Carry out what got no answer."""
+        assignment, self._held = self._held, []
+        self.late = False
+        for conditions, writes in assignment:
+            self._store.txn(conditions, writes)
+
+    def grant(self, ttl_s: float) -> int:
+        self._check()
+        return self._store.grant(ttl_s)
+
+    def renew(self, lease: int, deadline_s: float) -> None:
+        self._check()
+        self._store.renew(lease, deadline_s)
+
+    def resign(self, lease: int) -> None:
+        self._check()
+        self._store.expire(lease)
+
+    def watch(self, prefix: str, since: Revision, wait_s: float) -> ChangeLog:
+        self._check()
+        if self.mute_watch:
+            raise StoreUnavailableError("deadline")
+        found = self._store.watch(prefix, since, wait_s)
+        if self.during_watch is not None:
+            meanwhile, self.during_watch = self.during_watch, None
+            meanwhile()
+        if self.stale_watch is not None:
+            until = self.stale_watch
+            log = [change for change in found.log if change.key_version <= until]
+            return ChangeLog(int(max(since, min(found.revision, until))), log)
+        return found
--- /dev/null
+++ b/tests/timed_workers.py
@@ -0,0 +1,149 @@
+"""Workers with leases that report to one controller at a time, and direct commands to them."""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from fakes import (
+    FakeWorker,
+)
+
+from ryewing.units import Token
+from ryewing.wire import Command, Report
+from ryewing.workers import WorkerUnavailableError
+
+STEP_S = 0.25
+"""How much time passes at once."""
+NAMES = ("n-0", "n-1", "n-2")
+"""The controllers."""
+
+
+if TYPE_CHECKING:
+    from cluster import Cluster
+
+
+class TimedWorker(FakeWorker):
+    """A worker with a lease, that reports to one controller at a time."""
+
+    def __init__(self, cluster: Cluster, name: str, **kind: Any) -> None:
+        super().__init__(name, **kind)
+        self._cluster = cluster
+        self.node = NAMES[0]
+        self.lease_from: float = cluster.clock()
+        self.next_report: float = cluster.clock()
+        self.hangs = False
+        self.unreachable: set[str] = set()
+        """Controllers that it can't exchange anything with."""
+        self.mute = False
+        """It can't reach any controller; direct commands reach it."""
+        self.deaf = False
+        """Its reports arrive; answers and direct commands are lost."""
+        self.holds_up = False
+        """Direct commands get no answer, and are carried out when `catch_up` is called."""
+        self._held_up: list[tuple[Token, int, list[Command]]] = []
+        self.answer_s = 0.0
+        """How long the answer to a report is on its way."""
+        self._answer: tuple[float, Callable[[], None]] | None = None
+        self.address = self.report().address
+
+    def execute(self, token: int, commands: list[Command]) -> bool:
+        before = set(self.tasks)
+        done = super().execute(token, commands)
+        for key in set(self.tasks) - before:
+            self._cluster.rules.started(self, key)
+        return done
+
+    def tend(self) -> None:
+        """Report when it is time; end the session when the lease is over."""
+        now = self._cluster.clock()
+        if self.hangs:
+            return
+        if self._answer is not None and now >= self._answer[0]:
+            arrive, self._answer = self._answer[1], None
+            arrive()
+        if now > self.lease_from + self._cluster.settings.params.workers.lease_s:
+            self.session += 1
+            self.sequence = 0
+            self.tasks.clear()
+            self.lease_from = now
+        if now >= self.next_report and self._answer is None:
+            self.next_report = now + self._cluster.settings.params.workers.report_s
+            self.report_now()
+
+    def report_now(self) -> Report:
+        """Send one report and heed the answer."""
+        cluster = self._cluster
+        sent_at = cluster.clock()
+        sent = self.report()
+        if self.mute or self.node in self.unreachable or self.node in cluster.dead | cluster.frozen:
+            self._next()
+            return sent
+        status, answer = cluster.report(self.node, sent)
+        if self.deaf:
+            return sent
+        if self.answer_s:
+            session = self.session
+            self._answer = (
+                sent_at + self.answer_s,
+                lambda: self._heed(sent_at, status, answer) if session == self.session else None,
+            )
+        else:
+            self._heed(sent_at, status, answer)
+        return sent
+
+    def _heed(self, sent_at: float, status: int, answer: Any) -> None:
+        if status == 200:
+            response = msgspec.convert(answer, type=dict[str, Any])
+            commands = msgspec.convert(response["orders"], type=list[Command])
+            if self.execute(response["mandate"], commands):
+                self.lease_from = sent_at
+                if commands:
+                    self.next_report = min(self.next_report, sent_at + 0.5)
+        elif status == 421 and answer.get("foreman") in NAMES:
+            self.node = answer["foreman"]
+            self.next_report = sent_at + STEP_S
+        else:
+            self._next()
+
+    def hold_up(self, token: Token, session: int, commands: list[Command]) -> None:
+        """A direct command is on its way for longer than its sender waits."""
+        self._held_up.append((token, session, copy.deepcopy(commands)))
+
+    def catch_up(self) -> None:
+        """Carry out the direct commands that were held up, if token and session still match."""
+        held_up, self._held_up = self._held_up, []
+        for token, session, commands in held_up:
+            if token >= self.token and session == self.session:
+                self.execute(token, commands)
+
+    def _next(self) -> None:
+        self.node = NAMES[(NAMES.index(self.node) + 1) % len(NAMES)]
+        self.next_report = self._cluster.clock() + 1.0
+
+
+class DirectLink:
+    """Direct commands of one controller."""
+
+    def __init__(self, cluster: Cluster, here: str) -> None:
+        self._cluster = cluster
+        self._here = here
+
+    def send(self, address: str, token: Token, session: int, commands: list[Command]) -> Report:
+        found = [w for w in self._cluster.workers.values() if w.address == address]
+        if not found:
+            raise WorkerUnavailableError("deadline")
+        [worker] = found
+        if worker.hangs or worker.deaf or self._here in worker.unreachable:
+            raise WorkerUnavailableError("deadline")
+        if worker.holds_up:
+            worker.hold_up(token, session, commands)
+            raise WorkerUnavailableError("deadline")
+        if token >= worker.token and session == worker.session:
+            worker.execute(token, commands)
+        return worker.report()
+
+    def forget(self, address: str) -> None:
+        """Nothing is kept here."""
