Direct messages: machines with stops and all others take turns

With as many silent machines as senders, machines without stops were never sent anything.

Change: the two lines take turns, so each has half of the senders at the least. The row fails with stops always first.

--- a/src/ryewing/dispatch.py
+++ b/src/ryewing/dispatch.py
@@ -72,8 +72,10 @@
         self._sends_at_once = sends_at_once(ctx.settings.params.resources.fd_limit)
         self._sending: set[MachineId] = set()
         self._stops_waiting: OrderedDict[MachineId, Machine] = OrderedDict()
-        """Machines to be sent something when it is their turn: first those with tasks to stop."""
+        """Machines to be sent something when it is their turn: those with tasks to stop."""
         self._others_waiting: OrderedDict[MachineId, Machine] = OrderedDict()
+        self._others_turn = False
+        """The lines take turns: neither waits for the other's silent machines."""
         rate = EARLY_REPORTS_PER_CORE * ctx.settings.params.resources.core_share
         self._early_report_budget = Budget(rate, rate)
 
@@ -255,7 +257,9 @@
     def _send_waiting(self) -> None:
         """Do the direct exchanges that wait, one after the other."""
         while self._stops_waiting or self._others_waiting:
-            line = self._stops_waiting or self._others_waiting
+            lines = [self._stops_waiting, self._others_waiting]
+            line = lines[self._others_turn] or lines[not self._others_turn]
+            self._others_turn = not self._others_turn
             _, machine = line.popitem(last=False)
             self.send(machine)
 
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -12,7 +12,8 @@
 from ryewing.dispatch import PROBE_AFTER, SENDS_AT_ONCE
 from ryewing.leader import CUT, CUT_PROBE_S
 from ryewing.renter import REQUEST_PREFIX
-from ryewing.units import JobId, MachineId
+from ryewing.stops import StopReason
+from ryewing.units import Attempt, JobId, MachineId, TaskId
 from ryewing.wire import ListedMachine
 from ryewing.writer import MACHINE_PREFIX
 
@@ -210,6 +211,27 @@
     assert len(asked) == 100
 
 
+def test_neither_line_of_messages_waits_for_the_other(harness: LeaderHarness) -> None:
+    """Stops are sent again each second: to silent machines they would have kept all senders."""
+    harness.ready_workers(100)
+    del harness.leader.dispatch.send_soon
+    dispatch = harness.leader.dispatch
+    asked: list[MachineId] = []
+    dispatch.send = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
+    machines = list(harness.leader.ctx.cluster.machines.values())
+    stopping = {machine.id for machine in machines[:60]}
+    for name in sorted(stopping):
+        task = TaskId(JobId("run-1"), 0)
+        harness.leader.ctx.stops.add(
+            name, task, Attempt(1), 0.0, StopReason.CANCELLED, harness.clock()
+        )
+    for machine in machines:
+        dispatch.send_soon(machine)
+    dispatch._senders.join()
+    assert len(asked) == len(set(asked)) == 100
+    assert [name in stopping for name in asked[:80]] == [True, False] * 40
+
+
 @pytest.mark.parametrize(("silent", "cut"), [(2, False), (6, False), (7, True), (9, True)])
 def test_a_leader_that_hears_hardly_any_worker_resigns(
     harness: LeaderHarness, silent: int, cut: bool
