Shards: team limits are divided so that the parts never exceed them

All parts of a team stand in one record; the owner alone lowers its part, to no less than what runs on it, and anybody raises one by what no shard has. Pure, not loaded by the daemon.

--- a/src/ryewing/sharding/__init__.py
+++ b/src/ryewing/sharding/__init__.py
@@ -1,8 +1,9 @@
 """The fleet divided into shards, each of which one controller at a time leads.
 
 `settings` says which machines belong to a shard and checks it, `ownership` decides the steps by
-which a shard changes hands, `registry` keeps them in the store, `load` is what a planner goes by,
-and `planner` chooses owners, by a solver (`exact`) or without one (`greedy`). Nothing here starts a
-task: who may do so in a shard rests on that shard's own lease and term, as in `leadership`. Not
-loaded by the daemon yet (docs/sharding.md says what is there and what is to come).
+which a shard changes hands, `registry` keeps them in the store, `shard_store` is a shard's part of
+the store, `allowance` divides team limits, `load` is what a planner goes by, and `planner` chooses
+owners, by a solver (`exact`) or without one (`greedy`). Nothing here starts a task: who may do so
+in a shard rests on that shard's own lease and term, as in `leadership`. Not loaded by the daemon
+yet (docs/sharding.md says what is there and what is to come).
 """
--- /dev/null
+++ b/tests/test_allowance.py
@@ -0,0 +1,75 @@
+"""Team limits divided among shards."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ryewing.settings import Team
+from ryewing.sharding.allowance import (
+    UNLIMITED,
+    Allowances,
+    Amount,
+    limit_of,
+    lowered,
+    raised,
+    wanted_parts,
+)
+from ryewing.sharding.settings import ShardName
+
+SHARDS = [ShardName(name) for name in ("east", "west", "north")]
+EPSILON = 1e-6
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_parts_never_exceed_the_limit_and_never_what_is_used(seed: int) -> None:
+    """Shards ask, use, give back and stall in any order, some writes replaced by others'."""
+    rng = random.Random(seed)
+    limit = limit_of(Team("red", cpus_max=64.0, gpus_max=8.0))
+    record = Allowances()
+    used = dict.fromkeys(SHARDS, Amount())
+    for _ in range(400):
+        shard = rng.choice(SHARDS)
+        demand = {name: Amount(rng.uniform(0, 64), rng.uniform(0, 8)) for name in SHARDS}
+        wanted = wanted_parts(limit, demand, used)[shard]
+        change = (
+            lowered(record, shard, rng.choice([wanted, Amount()]), used[shard])
+            if rng.random() < 0.5
+            else raised(record, shard, wanted, limit)
+        )
+        if change is not None and rng.random() < 0.8:  # else another write came first
+            record = change
+        part = record.of(shard)
+        used[shard] = rng.choice([used[shard], part, part.scaled(rng.random(), rng.random())])
+        total = record.total()
+        assert total.cpus <= limit.cpus + EPSILON
+        assert total.gpus <= limit.gpus + EPSILON
+        assert all(used[name].at_most(record.of(name)) == used[name] for name in SHARDS)
+
+
+@pytest.mark.parametrize(
+    ("demand", "in_use", "parts"),
+    [
+        ((10, 10, 10), (0, 0, 0), (10, 10, 10)),  # enough for all
+        ((90, 30, 0), (0, 0, 0), (45, 15, 0)),
+        ((60, 60, 0), (60, 0, 0), (60, 0, 0)),  # nothing is left beside what is in use
+        ((60, 60, 0), (40, 0, 0), (45, 15, 0)),
+        ((0, 60, 0), (30, 0, 0), (30, 30, 0)),  # not wanted, but still in use
+    ],
+)
+def test_a_limit_is_divided_by_demand_beyond_what_is_used(
+    demand: tuple[float, ...], in_use: tuple[float, ...], parts: tuple[float, ...]
+) -> None:
+    def amounts(cpus: tuple[float, ...]) -> dict[ShardName, Amount]:
+        return {shard: Amount(each) for shard, each in zip(SHARDS, cpus, strict=True)}
+
+    assert wanted_parts(Amount(60.0, 8.0), amounts(demand), amounts(in_use)) == amounts(parts)
+
+
+def test_a_team_without_limit_gets_what_it_wants() -> None:
+    limit = limit_of(Team("blue"))
+    assert limit == Amount(UNLIMITED, UNLIMITED)
+    demand = {SHARDS[0]: Amount(1e6, 1e3)}
+    assert wanted_parts(limit, demand, {}) == demand
+    assert raised(Allowances(), SHARDS[0], demand[SHARDS[0]], limit) == Allowances(demand)  # type: ignore[arg-type]
