--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -174,13 +174,19 @@
     assert harness.leader.renter.to_give_up(harness.clock()) == []
 
 
+def noted_messages(harness: LeaderHarness) -> list[MachineId]:
+    """Let direct messages wait in line as they do, and note to which machines they go."""
+    del harness.leader.dispatch.send_soon
+    asked: list[MachineId] = []
+    harness.leader.dispatch.send = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
+    return asked
+
+
 def test_asking_many_silent_machines_never_waits(harness: LeaderHarness) -> None:
     """Found on a day of our own: a full pool of senders interrupted a loop over the machines."""
     harness.ready_workers(100)
-    del harness.leader.dispatch.send_soon
     dispatch = harness.leader.dispatch
-    asked: list[MachineId] = []
-    dispatch.send = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
+    asked = noted_messages(harness)
     harness.later(policy().silence_s)
     dispatch.probe(harness.clock())
     dispatch.probe(harness.clock())
@@ -197,10 +203,8 @@
     harness.place()
     for worker in workers:
         harness.exchange(worker)
-    del harness.leader.dispatch.send_soon
     dispatch = harness.leader.dispatch
-    asked: list[MachineId] = []
-    dispatch.send = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
+    asked = noted_messages(harness)
     harness.later(policy().silence_s)
     dispatch.probe(harness.clock())
     [machine] = [m for m in harness.leader.ctx.cluster.machines.values() if m.assignments]
@@ -214,10 +218,8 @@
 def test_neither_line_of_messages_waits_for_the_other(harness: LeaderHarness) -> None:
     """Stops are sent again each second: to silent machines they would have kept all senders."""
     harness.ready_workers(100)
-    del harness.leader.dispatch.send_soon
     dispatch = harness.leader.dispatch
-    asked: list[MachineId] = []
-    dispatch.send = lambda machine: asked.append(machine.id)  # type: ignore[method-assign]
+    asked = noted_messages(harness)
     machines = list(harness.leader.ctx.cluster.machines.values())
     stopping = {machine.id for machine in machines[:60]}
     for name in sorted(stopping):
