A pass's lists: none is kept twice when empty; one check of who is told of stops

With no machine left that fits, each job added one more empty list to those that every later job goes through: a list is kept only if it is shorter by more than half. `Candidates.note_stopping` itself leaves out machines that are not its own, so that its callers need not. `ShardSettings.shard_of`, which nothing called, is gone.

--- a/src/ryewing/capacity.py
+++ b/src/ryewing/capacity.py
@@ -434,7 +434,7 @@
         """
         among = self._narrowest(spec)
         found = [capacity for capacity in among if capacity.may_fit(spec)]
-        if among is self.capacities or len(found) <= NARROWER * len(among):
+        if among is self.capacities or len(found) < NARROWER * len(among):
             self._fitting.append((spec, found))
         return found
 
@@ -473,6 +473,8 @@
 
     def note_stopping(self, capacity: MachineCapacity) -> None:
         """Something is being stopped on a machine: more may fit there, and less be stopped."""
+        if _position(self.capacities, capacity) is None:
+            return
         for spec, capacities in self._fitting:
             if capacity.may_fit(spec):
                 _insert(capacities, capacity)
@@ -480,12 +482,7 @@
             if not capacity.has_victims(key):
                 _discard(capacities, capacity)
         for part in self._parts():
-            if part.holds(capacity):
-                part.note_stopping(capacity)
-
-    def holds(self, capacity: MachineCapacity) -> bool:
-        """Tell whether a machine is among these."""
-        return _position(self.capacities, capacity) is not None
+            part.note_stopping(capacity)
 
     def free(self, spec: JobSpec) -> list[MachineCapacity]:
         """List the machines that may still have room for a task, looked through once a kind."""
--- a/src/ryewing/placement/state.py
+++ b/src/ryewing/placement/state.py
@@ -156,8 +156,7 @@
     def note_stopping(self, capacity: MachineCapacity) -> None:
         """Something is being stopped on a machine: it may have room now."""
         for candidates in chain(self._candidates.values(), self._narrowed):
-            if candidates.holds(capacity):
-                candidates.note_stopping(capacity)
+            candidates.note_stopping(capacity)
 
     def sample(self, job: Job, capacities: list[MachineCapacity]) -> list[MachineCapacity]:
         """Take a random sample of more machines than a pass should look at for one job.
--- a/src/ryewing/sharding/settings.py
+++ b/src/ryewing/sharding/settings.py
@@ -42,13 +42,6 @@
         """Name the shards, in the order of the file."""
         return [ShardName(spec.name) for spec in self.shards]
 
-    def shard_of(self, zone: str) -> ShardName | None:
-        """Find the shard of a zone's machines."""
-        for spec in self.shards:
-            if zone in spec.zones:
-                return ShardName(spec.name)
-        return None
-
 
 def load_shards(path: Path, settings: Settings) -> ShardSettings:
     """Read and check a file of shard settings; raise SettingsError with the first problem."""
