Loopback world: Ctrl-C ends it also where a shell had made it ignore that

Cause: a full run of the tests started with `&` ended with 991 passed and one error: the fixture's interrupt did not end the loopback world within 30 s.

No assertion and no bound is changed.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -18,6 +18,7 @@
 
 import argparse
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -281,6 +282,8 @@
 
 def main() -> None:
     """Run the world until it is interrupted."""
+    # A shell lets what it starts in the background ignore Ctrl-C, and children inherit that.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     options = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     options.add_argument("--controllers", type=int, default=3)
     options.add_argument("--port", type=int, default=18000)
