--- a/src/ryewing/node.py
+++ b/src/ryewing/node.py
@@ -67,7 +67,9 @@
         self.name = NodeName(settings.node)
         self.boot = new_boot()
         limits = settings.params.state.strictest()
-        self.store = Store(parse_address(settings.endpoints.state), limits)
+        self.division = division or WholeFleet()
+        scopes = self.division.scopes()
+        self.store = Store(parse_address(settings.endpoints.state), limits, len(scopes))
         self.store.relay = self._relay
         self.user_quota = UserQuota(limits.rps, len(settings.members) + 1, steady_now)
         self.store.on_throttled = self.user_quota.shrink
@@ -85,7 +87,6 @@
             {m.node: Peer(parse_address(m.address), at_once) for m in settings.members}
         )
         self._relay_budget = Budget(0.2 * limits.rps, 0.2 * limits.rps)
-        self.division = division or WholeFleet()
         self.candidacies = self._make_candidacies(self.store)
         self._api = HttpServer(
             parse_address(settings.api_addr), Api(self), max(16, int(API_SHARE * sockets))
--- /dev/null
+++ b/src/ryewing/sharding/check.py
@@ -0,0 +1,21 @@
+"""What an operator is told of a division before it is used."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from ..settings import Settings
+from .division import SPREAD_ZONES
+from .settings import shards_from
+
+
+def describe(text: str, settings: Settings) -> Iterator[str]:
+    """Check a division and say what it means; raise SettingsError with the first problem."""
+    shards = shards_from(text, settings)
+    yield f"{text}: good, shards {', '.join(shards.names())}"
+    narrow = [spec.name for spec in shards.shards if len(spec.zones) < SPREAD_ZONES]
+    if len(narrow) == len(shards.shards):
+        yield f"{text}: jobs that are spread over zones are refused (422): every shard has one zone"
+    elif narrow:
+        yield f"{text}: jobs that are spread over zones never run in {', '.join(narrow)}"
+    yield f"{text}: a job runs in one shard, so a gang is no larger than a shard's room"
--- /dev/null
+++ b/src/ryewing/sharding/command.py
@@ -0,0 +1,156 @@
+"""The operators' command `shards`: who owns what, and moving a shard.
+
+It speaks with the state service alone, and changes nothing but a shard's ownership record, by the
+step that the planner takes as well.
+"""
+
+from __future__ import annotations
+
+import enum
+import sys
+from collections.abc import Callable
+
+import gevent
+
+from ..settings import Settings, parse_address
+from ..store import Store, StoreUnavailableError, readable
+from ..units import NodeName, ShardName, steady_now, wall_now
+from .ownership import MoveRefusedError, Ownership, Phase, begin_move
+from .registry import DIVISION_KEY, Registration, ShardRegistry, Zones
+
+MOVE_PATIENCE_S = 60.0
+"""How long a move that was begun is watched."""
+LOOK_EVERY_S = 0.25
+
+
+class ExitCode(enum.IntEnum):
+    """How the command ends."""
+
+    DONE = 0
+    REFUSED = 3
+    """Nothing was changed, for the reason given."""
+    NO_STORE = 4
+    """The state service did not answer; a move may have been begun."""
+    NOT_FINISHED = 5
+    """The move was begun, and was not over, or was undone, when the command ended."""
+
+
+class CommandError(Exception):
+    """Ends the command with a line and an exit code."""
+
+    def __init__(self, code: ExitCode, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+class ShardsCommand:
+    """One call of the command."""
+
+    def __init__(
+        self,
+        store: Store,
+        write: Callable[[str], None] = print,
+        sleep: Callable[[float], None] = gevent.sleep,
+    ) -> None:
+        self._store = store
+        self._registry = ShardRegistry(store)
+        self._write = write
+        self._sleep = sleep
+
+    def show(self) -> None:
+        """Print a line for each shard."""
+        names = self._names()
+        found = self._registry.read(names)
+        self._write(
+            f"{'SHARD':<16} {'OWNER':<16} {'HEALTHY':<8} {'PHASE':<8} {'TARGET':<16} EPOCH AGE"
+        )
+        for name in names:
+            self._write(_line(name, found))
+
+    def move(self, name: ShardName, target: NodeName) -> None:
+        """Ask for a move, and say what became of it."""
+        names = self._names()
+        if name not in names:
+            raise CommandError(ExitCode.REFUSED, f"unknown shard {name!r}: {', '.join(names)}")
+        found = self._registry.read(names)
+        seen = found.shards[name]
+        if seen.record is None:
+            raise CommandError(ExitCode.REFUSED, f"shard {name!r} has no readable owner yet")
+        try:
+            taken = self._registry.take(
+                name, seen, lambda old: begin_move(old, target, found.healthy) if old else None
+            )
+        except MoveRefusedError as error:
+            raise CommandError(ExitCode.REFUSED, f"shard {name!r}: {error}") from None
+        if taken is None:
+            raise CommandError(ExitCode.REFUSED, f"shard {name!r} changed just now: ask again")
+        self._write(f"shard {name}: moving from {taken.owner} to {target}")
+        self._follow(name, taken, target)
+
+    def _follow(self, name: ShardName, begun: Ownership, target: NodeName) -> None:
+        began = steady_now()
+        phase = begun.phase
+        while steady_now() - began < MOVE_PATIENCE_S:
+            self._sleep(LOOK_EVERY_S)
+            record = self._registry.read([name]).shards[name].record
+            if record is None or record.epoch == begun.epoch:
+                continue
+            if record.phase is Phase.OWNED:
+                self._tell_end(name, record, target, steady_now() - began)
+                return
+            if record.phase is not phase:
+                phase = record.phase
+                self._write(f"shard {name}: {phase.value}")
+        raise CommandError(
+            ExitCode.NOT_FINISHED,
+            f"shard {name!r}: still {phase.value} after {MOVE_PATIENCE_S:g} s",
+        )
+
+    def _tell_end(
+        self, name: ShardName, record: Ownership, target: NodeName, took_s: float
+    ) -> None:
+        if record.owner != target:
+            raise CommandError(
+                ExitCode.NOT_FINISHED, f"shard {name!r}: the move was undone, owner {record.owner}"
+            )
+        self._write(f"shard {name}: owned by {target} after {took_s:.1f} s")
+
+    def _names(self) -> list[ShardName]:
+        entry = self._store.get(DIVISION_KEY)
+        if entry is None:
+            raise CommandError(ExitCode.REFUSED, "the fleet is not divided into shards")
+        zones = readable(entry.data, list[Zones], entry.key)
+        if zones is None:
+            raise CommandError(ExitCode.REFUSED, f"{DIVISION_KEY} can't be read")
+        return [ShardName(shard.name) for shard in zones]
+
+
+def _line(name: ShardName, found: Registration) -> str:
+    seen = found.shards[name]
+    record = seen.record
+    if record is None:
+        return f"{name:<16} {'-' if seen.readable else 'unreadable'}"
+    healthy = "yes" if record.owner in found.healthy else "no"
+    age_s = max(0.0, wall_now() - record.changed_at)
+    return (
+        f"{name:<16} {record.owner:<16} {healthy:<8} {record.phase.value:<8} "
+        f"{record.target or '-':<16} {record.epoch:<5} {age_s:.0f}s"
+    )
+
+
+def run(settings: Settings, name: str | None, target: str | None) -> int:
+    """Run the command; return its exit code."""
+    store = Store(parse_address(settings.endpoints.state), settings.params.state.strictest())
+    command = ShardsCommand(store)
+    try:
+        if name is None:
+            command.show()
+        else:
+            command.move(ShardName(name), NodeName(target or ""))
+    except CommandError as error:
+        print(f"ryewing: {error}", file=sys.stderr)
+        return error.code
+    except StoreUnavailableError as error:
+        print(f"ryewing: the state service does not answer: {error}", file=sys.stderr)
+        return ExitCode.NO_STORE
+    return ExitCode.DONE
--- a/src/ryewing/store.py
+++ b/src/ryewing/store.py
@@ -37,6 +37,9 @@
 """How often a node that was alone in losing the store tries again whether it can be reached."""
 PROBE_KEY = "lead/term"
 TXN_PATH = "/txn"
+KEPT_CONNECTIONS = 6
+WATCHES_A_TERM = 2
+"""Watches that each term has open: of its lease and of the jobs."""
 T = TypeVar("T")
 Relay = Callable[[str, str, bytes | None], Reply | None]
 
@@ -142,9 +145,9 @@
     and conditional transactions mean the same whoever sends them.
     """
 
-    def __init__(self, address: Address, limits: StateLimits, keep: int = 6) -> None:
-        self._http = HttpClient(address, keep)
-        self._watches = HttpClient(address, 2)
+    def __init__(self, address: Address, limits: StateLimits, terms: int = 1) -> None:
+        self._http = HttpClient(address, KEPT_CONNECTIONS)
+        self._watches = HttpClient(address, WATCHES_A_TERM * terms)
         self.limits = limits
         """What may be asked of it, now and later."""
         self.relay: Relay | None = None
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -46,7 +46,7 @@
 from ryewing.sharding.team_limits import ShardTeamLimits
 from ryewing.store import Put, StoreUnavailableError
 from ryewing.units import MachineId, ShardName, is_job_id, parse_task
-from ryewing.wire import JobSpec, MachineTypeList, Report
+from ryewing.wire import GROUP, JobSpec, MachineTypeList, Report
 
 PATIENCE_S = 10.0
 """How long a user who is refused asks again; the rules allow 75 s."""
@@ -326,6 +326,28 @@
         answer = b"".join(self.apis[node](environ, lambda status, _headers: seen.append(status)))
         return int(seen[0].split()[0]), msgspec.json.decode(answer)
 
+    def is_gang(self, reported: str) -> bool:
+        """Tell whether a task waits for the others of its job."""
+        task = parse_task(reported)
+        wanted = self.rules.runs.get(task.job) if task is not None else None
+        if wanted is None:
+            return False
+        return bool(wanted.shape == GROUP) and bool(wanted.task_count > 1)
+
+    def is_complete(self, key: tuple[str, int]) -> bool:
+        """Tell whether all tasks of a gang's attempt are on machines."""
+        task = parse_task(key[0])
+        assert task is not None
+        there = {
+            other[0]
+            for worker in self.workers.values()
+            for other, found in worker.tasks.items()
+            if other[1] == key[1]
+            and other[0].startswith(f"{task.job}/")
+            and found.status in ("gathering", "running")
+        }
+        return len(there) == int(self.rules.runs[task.job].task_count)
+
     # -- at the end -------------------------------------------------------------------------
 
     def settle(self, seconds: float = 60.0) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -64,9 +64,8 @@
     return Cluster(_clock_of_cluster(monkeypatch))
 
 
-@pytest.fixture
-def divided(monkeypatch: pytest.MonkeyPatch) -> Callable[..., Cluster]:
-    """Make a cluster whose fleet is divided into shards of whole zones."""
+def divided_clusters(monkeypatch: pytest.MonkeyPatch) -> Callable[..., Cluster]:
+    """Give what makes a cluster whose fleet is divided into shards of whole zones."""
     clock = _clock_of_cluster(monkeypatch)
 
     def make(count: int = 2, **settings: Any) -> Cluster:
@@ -74,3 +73,8 @@
         return Cluster(clock, msgspec.structs.replace(shards, **settings))
 
     return make
+
+
+@pytest.fixture
+def divided(monkeypatch: pytest.MonkeyPatch) -> Callable[..., Cluster]:
+    return divided_clusters(monkeypatch)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -149,6 +149,7 @@
         self.revision = 0
         self.log: list[Change] = []
         self.leases: set[int] = set()
+        self.granted = 0
         self.down = False
         self.lose_answers = False
         self.writes = 0
@@ -213,9 +214,9 @@
 
     def grant(self, ttl_s: float) -> int:
         self._check()
-        lease = len(self.leases) + 1
-        self.leases.add(lease)
-        return lease
+        self.granted += 1  # a lease's number is never given out again
+        self.leases.add(self.granted)
+        return self.granted
 
     def renew(self, lease: int, deadline_s: float) -> None:
         self._check()
--- a/tests/rule_checker.py
+++ b/tests/rule_checker.py
@@ -25,6 +25,10 @@
         self.broken: list[str] = []
         self.ended_done: dict[str, set[int]] = {}
         self.runs: dict[str, Any] = {}
+        self.starts: Counter[str] = Counter()
+        """How often each task was begun."""
+        self.halted: list[str] = []
+        """Tasks that were stopped by a command while they ran."""
 
     def _violation(self, rule: str, what: str) -> None:
         self.broken.append(f"{rule} at {self._cluster.clock() - 1000:.2f}: {what}")
@@ -52,6 +56,7 @@
         """A worker has begun an attempt."""
         task = parse_task(key[0])
         assert task is not None
+        self.starts[key[0]] += 1
         if task.job in self.told_cancelled:
             self._violation("ran_cancelled", f"{worker.name} starts {key[0]}")
         for other in self._cluster.workers.values():
@@ -67,9 +72,26 @@
                 ):
                     self._violation("ran_twice", f"{key[0]} on {other.name} and {worker.name}")
 
+    def _look_at_owners(self) -> None:
+        """No machine may be counted by two leaders at once that may both start tasks."""
+        owners: dict[str, list[str]] = {}
+        for name, node in self._cluster.nodes.items():
+            if name in self._cluster.dead:
+                continue
+            for candidacy in node.candidacies.values():
+                leader = candidacy.leader
+                if leader is None or not leader.ctx.may_start():
+                    continue
+                for machine in leader.ctx.cluster.machines:
+                    owners.setdefault(machine, []).append(f"{name}/{candidacy.shard}")
+        for machine_id, names in owners.items():
+            if len(names) > 1:
+                self._violation("counted_twice", f"{machine_id} by {', '.join(names)}")
+
     def look(self) -> None:
         """Look at what is on the machines now."""
         cluster = self._cluster
+        self._look_at_owners()
         cancel_s = cluster.settings.params.workers.cancel_s
         used: Counter[str] = Counter()
         for worker in cluster.workers.values():
--- a/tests/timed_store.py
+++ b/tests/timed_store.py
@@ -11,7 +11,7 @@
     FakeStore,
 )
 
-from ryewing.store import Put, Remove, StoreUnavailableError, TxnResult
+from ryewing.store import LeaseLostError, Put, Remove, StoreUnavailableError, TxnResult
 from ryewing.units import KeyVersion, Revision
 from ryewing.wire import Change, ChangeLog, Entry
 
@@ -117,7 +117,10 @@
         assignment, self._held = self._held, []
         self.late = False
         for conditions, writes in assignment:
-            self._store.txn(conditions, writes)
+            try:
+                self._store.txn(conditions, writes)
+            except LeaseLostError:
+                pass  # it hung on a lease that has ended: 400, whom nobody waits for any more
 
     def grant(self, ttl_s: float) -> int:
         self._check()
--- a/tests/timed_workers.py
+++ b/tests/timed_workers.py
@@ -12,7 +12,7 @@
 )
 
 from ryewing.units import Token
-from ryewing.wire import Command, Report
+from ryewing.wire import Command, Report, ReportedTask
 from ryewing.workers import WorkerUnavailableError
 
 STEP_S = 0.25
@@ -47,20 +47,46 @@
         self.answer_s = 0.0
         """How long the answer to a report is on its way."""
         self._answer: tuple[float, Callable[[], None]] | None = None
+        self._gathering_since: dict[tuple[str, int], float] = {}
         self.address = self.report().address
 
     def execute(self, token: int, commands: list[Command]) -> bool:
-        before = set(self.tasks)
+        before = dict(self.tasks)
         done = super().execute(token, commands)
-        for key in set(self.tasks) - before:
-            self._cluster.rules.started(self, key)
+        rules = self._cluster.rules
+        for key in self.tasks.keys() - before.keys():
+            rules.started(self, key)
+            if self._cluster.is_gang(key[0]):
+                self._set_status(key, "gathering")
+                self._gathering_since[key] = self._cluster.clock()
+        for key in self.tasks.keys() & before.keys():
+            if before[key].status == "running" and self.tasks[key].cause == "stopped":
+                rules.halted.append(key[0])
         return done
 
+    def _set_status(self, key: tuple[str, int], status: str, cause: str | None = None) -> None:
+        self.tasks[key] = ReportedTask(*key, status, cause)
+        self.next_report = min(self.next_report, self._cluster.clock() + 0.5)
+
+    def _tend_gangs(self) -> None:
+        """Begin the gangs that are complete; give up what has waited for too long."""
+        for key, found in list(self.tasks.items()):
+            if found.status != "gathering":
+                continue
+            if self._cluster.is_complete(key):
+                self._set_status(key, "running")
+            elif (
+                self._cluster.clock() - self._gathering_since[key]
+                > self._cluster.settings.params.workers.gang_wait_s
+            ):
+                self._set_status(key, "ended", "incomplete")
+
     def tend(self) -> None:
         """Report when it is time; end the session when the lease is over."""
         now = self._cluster.clock()
         if self.hangs:
             return
+        self._tend_gangs()
         if self._answer is not None and now >= self._answer[0]:
             arrive, self._answer = self._answer[1], None
             arrive()
