Tests: shards move while controllers are lost at every step, by clock and by processes

Need: a move had no rows for the hard cases, and none with real processes.

Change: rows for source, target and third controller lost in each phase, lost and late answers, half-started and cancelled gangs, spot notices, frozen owners, a minute without an owner, different divisions. Three processes on loopback move a shard by the command and lose a controller.

--- /dev/null
+++ b/tests/divided_fleet.py
@@ -0,0 +1,86 @@
+"""A divided fleet in the played cluster: bringing it up, moving shards, judging the outcome."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from cluster import Cluster
+from timed_workers import NAMES
+
+from ryewing.sharding.ownership import MoveRefusedError, Ownership, Phase, begin_move
+from ryewing.sharding.registry import Registration, ShardRegistry
+from ryewing.units import NodeName, ShardName
+
+EAST, WEST = "shard-1", "shard-2"
+"""Zone a, and zones b and c."""
+
+MakeCluster = Callable[..., Cluster]
+
+
+def serving(cluster: Cluster, machines: int = 6) -> None:
+    """Bring up machines in each zone, and owners for all shards."""
+    for number in range(machines):
+        cluster.worker(f"i-{number:06d}", zone="abc"[number % 3])
+    cluster.run(12.0)
+
+
+def ownership(cluster: Cluster) -> Registration:
+    """Read the records as an operator does."""
+    names = [shard for shard in cluster.nodes[NAMES[0]].candidacies if shard is not None]
+    return ShardRegistry(cluster.store).read(names)  # type: ignore[arg-type]
+
+
+def record_of(cluster: Cluster, shard: str) -> Ownership:
+    record = ownership(cluster).shards[ShardName(shard)].record
+    assert record is not None
+    return record
+
+
+def begin(cluster: Cluster, shard: str, target: str) -> bool:
+    """Ask for a move; False if it is refused."""
+    found = ownership(cluster)
+    registry = ShardRegistry(cluster.store)  # type: ignore[arg-type]
+    try:
+        taken = registry.take(
+            ShardName(shard),
+            found.shards[ShardName(shard)],
+            lambda old: begin_move(old, NodeName(target), found.healthy) if old else None,
+        )
+    except MoveRefusedError:
+        return False
+    return taken is not None
+
+
+def all_owned(cluster: Cluster) -> bool:
+    """Tell whether each shard is led by the controller that its record names."""
+    return all(
+        seen.record is not None
+        and seen.record.phase is Phase.OWNED
+        and cluster.leader(seen.record.owner, shard) is not None
+        for shard, seen in ownership(cluster).shards.items()
+    )
+
+
+def submit_some(cluster: Cluster, rng: random.Random, first: int, count: int) -> None:
+    """Submit arrays and gangs at any controller."""
+    for number in range(first, first + count):
+        gang = rng.random() < 0.3
+        status = cluster.submit(
+            rng.choice(NAMES),
+            f"run-{number}",
+            shape="group" if gang else "batch",
+            task_count=rng.randint(2, 4),
+            cpus=rng.choice((2.0, 8.0)),
+        )
+        assert status in (0, 201, 503)
+
+
+def broken(cluster: Cluster) -> list[str]:
+    """Say which rules were broken once troubles are over, and which shards nobody owns."""
+    for name in [name for name, worker in cluster.workers.items() if worker.notice_s is not None]:
+        del cluster.workers[name]  # the cloud takes what it has announced
+    found = cluster.verdict()
+    if not all_owned(cluster):
+        found.append(f"not owned: {ownership(cluster).shards}")
+    return found
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,6 +12,10 @@
 
 With `--upgrade-from DIR` the controllers begin with the program of another checkout, and are
 replaced by this one's one after the other; then the store's limits fall. Ctrl-C ends it all.
+
+With `--shards zones:2` the controllers share the fleet; `--folder DIR` keeps the settings files
+there, for `run.py shards DIR/n-0.json`. `GET /trouble/starts` tells how often each task was
+started.
 """
 
 from __future__ import annotations
@@ -22,6 +26,7 @@
 import subprocess
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
@@ -86,6 +91,8 @@
         self.controllers = [f"n-{n}" for n in range(controllers)]
         self.api = {name: port + 10 + 2 * n for n, name in enumerate(self.controllers)}
         self.renewals: dict[int, gevent.Greenlet] = {}
+        self.ttl_s: dict[int, float] = {}
+        self.starts: Counter[str] = Counter()
         self.live: dict[str, FakeWorker] = {}
 
     def start(self) -> None:
@@ -128,7 +135,7 @@
         if path == "/holds":
             ttl_s = msgspec.json.decode(body)["ttl_ms"] / 1000
             tenancy = store.grant(ttl_s)
-            self.ttl_s = ttl_s
+            self.ttl_s[tenancy] = ttl_s
             self.renewals[tenancy] = gevent.spawn(self._expiry, tenancy, ttl_s)
             return 200, {"tenancy": tenancy}
         if path.startswith("/holds/"):
@@ -141,7 +148,7 @@
             if method == "DELETE":
                 store.expire(tenancy)
             else:
-                self.renewals[tenancy] = gevent.spawn(self._expiry, tenancy, self.ttl_s)
+                self.renewals[tenancy] = gevent.spawn(self._expiry, tenancy, self.ttl_s[tenancy])
             return 200, {}
         if path == "/txn":
             ask = msgspec.json.decode(body)
@@ -195,6 +202,8 @@
                     if reported.task_id == query["piece"] and reported.status == "running":
                         worker.tasks[key] = ReportedTask(*key, "ended", query["cause"])
             return 200, {}
+        if path == "/trouble/starts":
+            return 200, self.starts
         if path == "/trouble/lose":
             return 200, {"lost": self.live.pop(query["host"], None) is not None}
         if path == "/machines/release":
@@ -222,6 +231,7 @@
         before = set(worker.tasks)
         worker.execute(token, commands)
         for key in set(worker.tasks) - before:
+            self.starts[key[0]] += 1
             gevent.spawn(self._run, worker, key)
 
     def work(self, worker: FakeWorker) -> None:
@@ -288,6 +298,8 @@
     options.add_argument("--controllers", type=int, default=3)
     options.add_argument("--port", type=int, default=18000)
     options.add_argument("--upgrade-from", type=Path, metavar="DIR")
+    options.add_argument("--shards", metavar="FILE|zones:N")
+    options.add_argument("--folder", type=Path, metavar="DIR")
     chosen = options.parse_args()
     world = World(chosen.port, chosen.controllers)
     world.start()
@@ -295,14 +307,20 @@
     commands: list[list[str]] = []
     with tempfile.TemporaryDirectory() as folder:
         for name in world.controllers:
-            file = Path(folder) / f"{name}.json"
+            file = (chosen.folder or Path(folder)) / f"{name}.json"
             file.write_bytes(msgspec.json.encode(world.settings(name)))
-            commands.append([sys.executable, str(ROOT / "run.py"), "--config", str(file)])
+            division = ["--shards", chosen.shards] if chosen.shards else []
+            commands.append(
+                [sys.executable, str(ROOT / "run.py"), *division, "--config", str(file)]
+            )
             command = list(commands[-1])
             if chosen.upgrade_from is not None:
                 command[1] = str(chosen.upgrade_from / "run.py")
             processes.append(subprocess.Popen(command, env=os.environ.copy()))
-            print(f"{name}: users at http://127.0.0.1:{world.api[name]}", flush=True)
+            print(
+                f"{name}: users at http://127.0.0.1:{world.api[name]}, process {processes[-1].pid}",
+                flush=True,
+            )
         if chosen.upgrade_from is not None:
             gevent.spawn(upgrade, world, processes, commands)
         try:
--- a/tests/test_shard_moves.py
+++ b/tests/test_shard_moves.py
@@ -14,7 +14,7 @@
 import pytest
 from cluster import Cluster
 from conftest import divided_clusters
-from test_sharded_controllers import MakeCluster, all_owned, begin, ownership, submit_some
+from divided_fleet import MakeCluster, begin, broken, submit_some
 from timed_workers import NAMES, TimedWorker
 
 MOVES_A_SEED = 5
@@ -157,16 +157,6 @@
         cluster.ask_all(job)
 
 
-def broken(cluster: Cluster) -> list[str]:
-    """Say which rules were broken once troubles are over, and which shards nobody owns."""
-    for name in [name for name, worker in cluster.workers.items() if worker.notice_s is not None]:
-        del cluster.workers[name]  # the cloud takes what it has announced
-    found = cluster.verdict()
-    if not all_owned(cluster):
-        found.append(f"not owned: {ownership(cluster).shards}")
-    return found
-
-
 @pytest.mark.parametrize("seed", range(SEEDS_IN_CI))
 def test_moves_under_troubles_break_no_rule(divided: MakeCluster, seed: int) -> None:
     cluster = divided(2 + seed % 2, moves_allowed=seed % 4 == 0, settle_s=5.0)
--- a/tests/test_sharded_controllers.py
+++ b/tests/test_sharded_controllers.py
@@ -2,78 +2,27 @@
 
 from __future__ import annotations
 
+import itertools
 import random
-from collections.abc import Callable
 
 import pytest
 from cluster import Cluster
+from divided_fleet import (
+    EAST,
+    WEST,
+    MakeCluster,
+    all_owned,
+    begin,
+    broken,
+    ownership,
+    record_of,
+    serving,
+    submit_some,
+)
+from scenarios import Scenario
 from timed_workers import NAMES
 
-from ryewing.sharding.ownership import MoveRefusedError, Ownership, Phase, begin_move
-from ryewing.sharding.registry import Registration, ShardRegistry
-from ryewing.units import NodeName, ShardName
-
-EAST, WEST = "shard-1", "shard-2"
-
-MakeCluster = Callable[..., Cluster]
-
-
-def serving(cluster: Cluster, machines: int = 6) -> None:
-    """Bring up machines in each zone, and owners for all shards."""
-    for number in range(machines):
-        cluster.worker(f"i-{number:06d}", zone="abc"[number % 3])
-    cluster.run(12.0)
-
-
-def ownership(cluster: Cluster) -> Registration:
-    """Read the records as an operator does."""
-    names = [shard for shard in cluster.nodes[NAMES[0]].candidacies if shard is not None]
-    return ShardRegistry(cluster.store).read(names)  # type: ignore[arg-type]
-
-
-def record_of(cluster: Cluster, shard: str) -> Ownership:
-    record = ownership(cluster).shards[ShardName(shard)].record
-    assert record is not None
-    return record
-
-
-def begin(cluster: Cluster, shard: str, target: str) -> bool:
-    """Ask for a move; False if it is refused."""
-    found = ownership(cluster)
-    registry = ShardRegistry(cluster.store)  # type: ignore[arg-type]
-    try:
-        taken = registry.take(
-            ShardName(shard),
-            found.shards[ShardName(shard)],
-            lambda old: begin_move(old, NodeName(target), found.healthy) if old else None,
-        )
-    except MoveRefusedError:
-        return False
-    return taken is not None
-
-
-def all_owned(cluster: Cluster) -> bool:
-    """Tell whether each shard is led by the controller that its record names."""
-    return all(
-        seen.record is not None
-        and seen.record.phase is Phase.OWNED
-        and cluster.leader(seen.record.owner, shard) is not None
-        for shard, seen in ownership(cluster).shards.items()
-    )
-
-
-def submit_some(cluster: Cluster, rng: random.Random, first: int, count: int) -> None:
-    """Submit arrays and gangs at any controller."""
-    for number in range(first, first + count):
-        gang = rng.random() < 0.3
-        status = cluster.submit(
-            rng.choice(NAMES),
-            f"run-{number}",
-            shape="group" if gang else "batch",
-            task_count=rng.randint(2, 4),
-            cpus=rng.choice((2.0, 8.0)),
-        )
-        assert status in (0, 201, 503)
+from ryewing.sharding.ownership import Phase
 
 
 def test_two_shards_are_led_by_two_controllers(divided: MakeCluster) -> None:
@@ -118,3 +67,228 @@
     assert set(cluster.rules.starts.values()) == {1}
     assert not cluster.rules.halted
     assert {worker.session for worker in cluster.workers.values()} == {1}
+
+
+def jobs_in_both(cluster: Cluster) -> None:
+    """An array and a gang run in each shard, led by n-0 and n-1."""
+    serving(cluster)
+    for number, (zone, shape) in enumerate(itertools.product("ab", ("batch", "group"))):
+        cluster.submit(NAMES[0], f"run-{number}", shape=shape, zone=zone, task_count=4, cpus=2.0)
+    cluster.run(10.0)
+    assert sum(len(worker.tasks) for worker in cluster.workers.values()) == 16
+    assert (cluster.leader_of(EAST), cluster.leader_of(WEST)) == ("n-0", "n-1")
+
+
+def move_until(cluster: Cluster, phase: Phase) -> None:
+    """Begin the move of a shard from n-0 to n-2, and go on until it is in a phase."""
+    assert begin(cluster, EAST, "n-2")
+    for _ in range(20):
+        if record_of(cluster, EAST).phase is phase:
+            return
+        cluster.run(0.25)
+    raise AssertionError(record_of(cluster, EAST))
+
+
+def all_done(cluster: Cluster) -> None:
+    """What runs goes on to its end, was begun once, and never stopped."""
+    cluster.run(2.0)
+    for worker in cluster.workers.values():
+        cluster.end(worker)
+    assert broken(cluster) == []
+    assert set(cluster.rules.final.values()) == {"done"}
+    assert set(cluster.rules.starts.values()) == {1}
+    assert not cluster.rules.halted
+
+
+@pytest.mark.parametrize("back", ["at once", "later"])
+@pytest.mark.parametrize("phase", list(Phase))
+@pytest.mark.parametrize("lost", NAMES)
+def test_a_controller_is_lost_at_any_step_of_a_move(
+    divided: MakeCluster, lost: str, phase: Phase, back: str
+) -> None:
+    """Source, target or the third one: somebody leads each shard soon, and its jobs go on."""
+    cluster = divided(moves_allowed=False)
+    jobs_in_both(cluster)
+    if phase is Phase.OWNED:
+        assert begin(cluster, EAST, "n-2")
+    else:
+        move_until(cluster, phase)
+    cluster.dead.add(lost)
+    if back == "at once":
+        cluster.boot(lost)
+    cluster.run(14.0)
+    assert all_owned(cluster)
+    if back == "later":
+        assert lost not in {record_of(cluster, shard).owner for shard in (EAST, WEST)}
+    all_done(cluster)
+
+
+@pytest.mark.parametrize("who", NAMES)
+@pytest.mark.parametrize("trouble", ["answer_lost", "late", "refused"])
+def test_steps_whose_answers_are_lost_or_that_come_late(
+    divided: MakeCluster, who: str, trouble: str
+) -> None:
+    cluster = divided(moves_allowed=False)
+    jobs_in_both(cluster)
+    assert begin(cluster, EAST, "n-2")
+    link = cluster.links[who]
+    setattr(link, trouble, True)
+    cluster.run(6.0)
+    setattr(link, trouble, False)
+    link.catch_up()
+    cluster.run(8.0)
+    assert all_owned(cluster)
+    all_done(cluster)
+
+
+def statuses(cluster: Cluster, job: str) -> list[str]:
+    """List what a job's tasks do."""
+    return [
+        found.status
+        for worker in cluster.workers.values()
+        for (reported, _attempt), found in worker.tasks.items()
+        if reported.startswith(f"{job}/")
+    ]
+
+
+def a_gang_is_half_started(cluster: Cluster) -> None:
+    """Some of its tasks wait on their machines for the others as the shard is sealed."""
+    cluster.submit("n-1", "run-8", shape="group", zone="a", task_count=4, cpus=10.0)
+    slow = cluster.workers["i-000003"]
+    slow.mute = True
+    cluster.run(3.0)
+    assert 0 < len(statuses(cluster, "run-8")) < 4
+    assert begin(cluster, EAST, "n-2")
+    cluster.run(1.0)
+    slow.mute = False
+    cluster.run(60.0)
+    assert statuses(cluster, "run-8") == ["running"] * 4
+    assert not [task for task in cluster.rules.halted if not task.startswith("run-8/")]
+
+
+def a_gang_is_cancelled(cluster: Cluster) -> None:
+    """At each moment of the move users call off what runs in the shard."""
+    move_until(cluster, Phase.SEALED)
+    assert cluster.cancel("n-1", "run-1") == 200
+    cluster.run(0.25)
+    assert cluster.cancel("n-2", "run-0") == 200
+    cluster.run(1.0)
+    for job in ("run-0", "run-1"):
+        cluster.ask_all(job)
+    cluster.run(8.0)
+    assert not any(worker.tasks for worker in cluster.workers.values() if worker.zone == "a")
+
+
+def a_spot_notice_comes(cluster: Cluster) -> None:
+    """The owner of a sealed shard still answers, and saves what is about to be lost."""
+    assert begin(cluster, EAST, "n-2")
+    for worker in cluster.workers.values():
+        worker.notice_s = 10.0 if worker.name == "i-000000" else None
+    cluster.run(8.0)
+    assert not cluster.workers["i-000000"].tasks
+
+
+def both_owners_hear_a_worker(cluster: Cluster) -> None:
+    """The old owner sends it on, and counts nothing that it says."""
+    worker = cluster.workers["i-000000"]
+    move_until(cluster, Phase.SETTLED)
+    cluster.run(1.0)
+    for name in ("n-0", "n-2", "n-0"):
+        status, answer = cluster.report(name, worker.report())
+        assert (status, answer.get("foreman")) == ((200, None) if name == "n-2" else (421, "n-2"))
+    assert cluster.leader("n-0", EAST) is None
+
+
+def nobody_owns_it_for_a_minute(cluster: Cluster) -> None:
+    """The store turns every controller away in the middle of a move."""
+    move_until(cluster, Phase.SETTLED)
+    for link in cluster.links.values():
+        link.refused = True
+    cluster.run(60.0)
+    for link in cluster.links.values():
+        link.refused = False
+    cluster.run(10.0)
+    assert all_owned(cluster)
+
+
+def the_owner_can_reach_no_workers(cluster: Cluster) -> None:
+    """It resigns, and leaves the shard to a controller that can."""
+    for number in range(6, 15):
+        cluster.worker(f"i-{number:06d}", zone="a")
+    cluster.run(8.0)
+    for worker in cluster.workers.values():
+        worker.unreachable.add("n-0")
+    cluster.run(16.0)
+    assert record_of(cluster, EAST).owner != "n-0"
+
+
+def an_owner_freezes(cluster: Cluster) -> None:
+    """Another controller takes its shard; thawed, it has no authority and gives way."""
+    cluster.frozen.add("n-0")
+    cluster.run(9.0)
+    assert record_of(cluster, EAST).owner != "n-0"
+    cluster.frozen.clear()
+    cluster.run(2.0)
+    assert cluster.leader("n-0", EAST) is None
+
+
+@pytest.mark.parametrize(
+    "scenario",
+    [
+        a_gang_is_half_started,
+        a_gang_is_cancelled,
+        a_spot_notice_comes,
+        both_owners_hear_a_worker,
+        nobody_owns_it_for_a_minute,
+        the_owner_can_reach_no_workers,
+        an_owner_freezes,
+    ],
+)
+def test_what_may_meet_a_move(divided: MakeCluster, scenario: Scenario) -> None:
+    cluster = divided(moves_allowed=False)
+    jobs_in_both(cluster)
+    scenario(cluster)
+    assert broken(cluster) == []
+
+
+def test_the_shards_of_a_lost_controller_come_back_to_it(divided: MakeCluster) -> None:
+    """The planner evens them out, once, and no sooner than they have settled."""
+    cluster = divided(3, settle_s=20.0)
+    serving(cluster)
+    cluster.dead.add("n-1")
+    cluster.run(10.0)
+    assert all_owned(cluster)
+    cluster.boot("n-1")
+    cluster.run(9.0)
+    assert record_of(cluster, WEST).owner != "n-1"
+    cluster.run(40.0)
+    owners = [record_of(cluster, shard) for shard in ("shard-1", "shard-2", "shard-3")]
+    assert sorted(record.owner for record in owners) == list(NAMES)
+    epochs = [record.epoch for record in owners]
+    cluster.run(60.0)
+    assert [record_of(cluster, f"shard-{n + 1}").epoch for n in range(3)] == epochs
+
+
+@pytest.mark.parametrize("first", [1, 2])
+def test_controllers_that_divide_the_fleet_differently_do_not_lead(
+    divided: MakeCluster, first: int
+) -> None:
+    """Nor do undivided ones beside divided ones: only those who were first ever lead."""
+    cluster = divided(first)
+    if first == 1:
+        cluster.shards = None
+        for name in NAMES:
+            cluster.coordinators.pop(name)
+            cluster.boot(name)
+    serving(cluster)
+    other = divided(3 if first == 1 else 1)
+    other.store = cluster.store
+    if first == 2:
+        other.shards = None
+    for name in NAMES:
+        other.coordinators.pop(name, None)
+        other.boot(name)
+    other.run(10.0)  # long enough for every lease of the first ones to end
+    assert not other.latest_leaders()
+    cluster.run(4.0)
+    assert len(cluster.latest_leaders()) == first
