Shards: a team's allowances are one record for all of them

Cause: the record's key was kept under each shard's prefix, so every shard divided the whole limit by itself. Found by the random moves as soon as their jobs wanted GPUs: 9 to 12 of a team's 8 in 12 of 62 rows.

Change: the key is a shared one. Rows for a term's scope: another shard's machines, zones, jobs, names of requests, rates, memory; which shard a job goes to. The plans of a sealed term are left to its next pass.

--- a/src/ryewing/sharding/coordinator.py
+++ b/src/ryewing/sharding/coordinator.py
@@ -201,11 +201,7 @@
             leader.ctx.scope.shard,
             leader.term,
         )
-        if sealed:
-            # What was planned and not sent is the next leader's to plan.
-            leader.ctx.cluster.drop_stale_plans(steady_now(), -1.0)
-        else:
-            leader.ctx.place.set()
+        leader.ctx.place.set()
 
     def _busy(self) -> bool:
         """Tell whether a step may be due without any change in the store."""
--- a/src/ryewing/sharding/shard_store.py
+++ b/src/ryewing/sharding/shard_store.py
@@ -21,8 +21,10 @@
 from ..wire import Change, ChangeLog, Entry
 
 SHARD_PREFIX = "s/"
-SHARED_PREFIXES = (LIVE_PREFIX, FINAL_PREFIX, catalogue.KEY)
-"""Keys that are the same for all shards; a job's record names its shard."""
+ALLOWANCE_PREFIX = "allowance/"
+SHARED_PREFIXES = (LIVE_PREFIX, FINAL_PREFIX, catalogue.KEY, ALLOWANCE_PREFIX)
+"""Keys that are the same for all shards. A job's record names its shard; a team's allowances are in
+one record, so that their parts are changed one after the other."""
 
 
 class ShardStore:
--- a/src/ryewing/sharding/team_limits.py
+++ b/src/ryewing/sharding/team_limits.py
@@ -31,10 +31,10 @@
     raised,
     target_of,
 )
+from .shard_store import ALLOWANCE_PREFIX
 
 log = logging.getLogger("ryewing.sharding")
 
-ALLOWANCE_PREFIX = "allowance/"
 STEP_S = 0.5
 FIRST_STEP_S = 0.1
 """How often a new term looks whether it may read the records: until then nothing may be used."""
--- a/tests/divided_fleet.py
+++ b/tests/divided_fleet.py
@@ -20,11 +20,17 @@
 
 def serving(cluster: Cluster, machines: int = 6) -> None:
     """Bring up machines in each zone, and owners for all shards."""
-    for number in range(machines):
-        cluster.worker(f"i-{number:06d}", zone="abc"[number % 3])
+    bring_up(cluster, machines)
     cluster.run(12.0)
 
 
+def bring_up(cluster: Cluster, machines: int, with_gpus: int = 0) -> None:
+    """Bring up machines in each zone by turns."""
+    for number in range(machines + with_gpus):
+        kind = "g4" if number >= machines else "c32"
+        cluster.worker(f"i-{number:06d}", machine_type=kind, zone="abc"[number % 3])
+
+
 def ownership(cluster: Cluster) -> Registration:
     """Read the records as an operator does."""
     names = [shard for shard in cluster.nodes[NAMES[0]].candidacies if shard is not None]
@@ -63,15 +69,16 @@
 
 
 def submit_some(cluster: Cluster, rng: random.Random, first: int, count: int) -> None:
-    """Submit arrays and gangs at any controller."""
+    """Submit arrays and gangs at any controller; some want GPUs, of which their team has eight."""
     for number in range(first, first + count):
-        gang = rng.random() < 0.3
+        gang, gpus = rng.random() < 0.3, float(rng.random() < 0.4)
         status = cluster.submit(
             rng.choice(NAMES),
             f"run-{number}",
             shape="group" if gang else "batch",
             task_count=rng.randint(2, 4),
-            cpus=rng.choice((2.0, 8.0)),
+            cpus=rng.choice((2.0, 8.0)) if not gpus else 1.0,
+            gpus=gpus,
         )
         assert status in (0, 201, 503)
 
--- a/tests/test_shard_moves.py
+++ b/tests/test_shard_moves.py
@@ -14,7 +14,7 @@
 import pytest
 from cluster import Cluster
 from conftest import divided_clusters
-from divided_fleet import MakeCluster, begin, broken, submit_some
+from divided_fleet import MakeCluster, begin, bring_up, broken, submit_some
 from timed_workers import NAMES, TimedWorker
 
 MOVES_A_SEED = 5
@@ -112,7 +112,7 @@
         self._worker().mute = True
 
     def machine_is_lost(self) -> None:
-        if len(self.cluster.workers) > 6:
+        if len(self.cluster.workers) > 9:
             self.cluster.workers.pop(self._worker().name)
 
     def machine_gets_notice(self) -> None:
@@ -131,8 +131,7 @@
     """Move shards under troubles; give how many moves were begun."""
     rng = random.Random(seed)
     troubles = Troubles(cluster, rng)
-    for number in range(9):
-        cluster.worker(f"i-{number:06d}", zone="abc"[number % 3])
+    bring_up(cluster, 9, with_gpus=6)
     cluster.run(12.0)
     begun = number = 0
     while begun < moves and number < 6 * moves:
--- a/tests/test_sharded_controllers.py
+++ b/tests/test_sharded_controllers.py
@@ -13,6 +13,7 @@
     MakeCluster,
     all_owned,
     begin,
+    bring_up,
     broken,
     ownership,
     record_of,
@@ -43,7 +44,8 @@
     """A hundred moves, at any time: while gangs gather, tasks end and jobs are submitted."""
     cluster = divided(shards, moves_allowed=False)
     rng = random.Random(seed)
-    serving(cluster, 9)
+    bring_up(cluster, 9, with_gpus=9)
+    cluster.run(12.0)
     moved = 0
     for number in range(25):
         submit_some(cluster, rng, 10 * number, 2)
--- /dev/null
+++ b/tests/test_term_scope.py
@@ -0,0 +1,168 @@
+"""A term keeps to its scope: its machines, its jobs, its part of every rate."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from fakes import CPU, GPU, job_spec
+from harness import LeaderHarness, starts
+
+from ryewing.division import NoShardError, NotReadyError
+from ryewing.jobs import Job, JobRecord, live_key
+from ryewing.listing import LIST_SHARE
+from ryewing.mesh import ShardLoadAnswer
+from ryewing.placer import PASS_REST
+from ryewing.renter import Renter
+from ryewing.sharding.division import ShardDivision
+from ryewing.sharding.settings import ShardSettings, ShardSpec
+from ryewing.store import Put
+from ryewing.term_scope import TermScope
+from ryewing.units import JobId, KeyVersion, ShardName, Term, Zone
+from ryewing.wire import ListedMachine, MachineType
+
+EAST, WEST = ShardName("east"), ShardName("west")
+DIVISION = ShardSettings((ShardSpec("east", ("a",)), ShardSpec("west", ("b", "c"))))
+
+
+@pytest.fixture
+def east(harness: LeaderHarness) -> LeaderHarness:
+    """A leader of the shard that has zone a, and half of the process's rates."""
+    harness.scope = TermScope(EAST, frozenset({Zone("a")}), 0.5)
+    harness.new_leader(5)
+    return harness
+
+
+def test_another_shards_machine_is_neither_answered_nor_counted(east: LeaderHarness) -> None:
+    """By its report, nor where the list or a late rental of another shard brings it up."""
+    ours, theirs = east.worker("i-000001", zone="a"), east.worker("i-000002", zone="b")
+    east.exchange(ours)  # shows the worker our token
+    east.exchange(ours)
+    theirs.token = ours.token
+    assert east.leader.on_report(theirs.report()) is None
+    east.cloud.listed = [
+        ListedMachine("i-000003", "c32", "a", "running"),
+        ListedMachine("i-000004", "c32", "b", "failed"),
+    ]
+    east.leader.renter.read_list()
+    assert sorted(east.leader.ctx.cluster.machines) == ["i-000001", "i-000003"]
+    assert not east.cloud.released
+
+
+def test_another_shards_zones_are_never_rented_in(east: LeaderHarness) -> None:
+    east.accept(task_count=1)
+    east.place()
+    east.leader.renter.rent()
+    assert {request.zone for request in east.cloud.requests} == {"a"}
+    assert {request.id for request in east.cloud.requests} == {"r-east-5-1"}
+    west = TermScope(WEST, frozenset({Zone("b")}), 0.5)
+    assert west.request_name(Term(5), 1) != east.scope.request_name(Term(5), 1)
+
+
+@pytest.mark.parametrize("shard", ["west", None])
+def test_another_shards_jobs_are_passed_over(east: LeaderHarness, shard: str | None) -> None:
+    """As they are read, as a watch brings them, and as the next leader reads them."""
+    record = JobRecord(job_spec("run-7"), 0.0, shard=shard)
+    result = east.store.txn({}, [Put(live_key(JobId("run-7")), record)])
+    raw = msgspec.Raw(msgspec.json.encode(record))
+    east.leader.intake.job_set("j/run-7", raw, KeyVersion(result.revision))
+    assert not east.leader.ctx.job_table.jobs
+    assert not east.new_leader(6).ctx.job_table.jobs
+
+
+def test_a_sealed_term_begins_nothing_and_goes_on_answering(east: LeaderHarness) -> None:
+    worker = east.ready_worker()
+    east.accept(task_count=2)
+    east.place()
+    east.leader.ctx.sealed = True
+    assert starts(east.exchange(worker)) == []
+    assert east.leader.on_report(worker.report()) is not None
+    machine = east.leader.ctx.cluster.machines[next(iter(east.leader.ctx.cluster.machines))]
+    east.leader.renter.release([(machine, "idle")])
+    east.leader.renter.pending_requests.clear()
+    assert not east.cloud.released
+    assert not east.leader.ctx.may_begin()
+    east.leader.ctx.sealed = False
+    assert len(starts(east.exchange(worker))) == 2
+
+
+def test_the_parts_of_all_terms_are_within_each_rate(east: LeaderHarness) -> None:
+    leader, params = east.leader, east.settings.params
+    renter = Renter(leader.ctx, leader.writer, leader.dispatch, leader.placer)
+    shares = [scope.share for scope in ShardDivision(DIVISION).scopes()]
+    assert sum(shares) == pytest.approx(1.0)
+    rates = {
+        "writes": (leader.writer._budget.rate, 0.65 * params.state.write_rps),
+        "cloud": (renter.cloud.budget.rate, 0.8 * params.cloud.rps),
+        "list": (leader.renter.listing._budget.rate, LIST_SHARE * params.cloud.rps),
+        "early reports": (
+            leader.dispatch._early_report_budget.rate,
+            60.0 * params.resources.core_share,
+        ),
+    }
+    for name, (rate, whole) in rates.items():
+        assert rate == pytest.approx(0.5 * whole), name
+    took = 1.0
+    assert 2 * took / (took + leader.placer._rest_s(took)) == pytest.approx(1 / (PASS_REST + 1))
+
+
+def test_a_job_that_fills_the_memory_of_one_term(east: LeaderHarness) -> None:
+    limit = 0.25 * 0.5 * east.settings.params.resources.mem_mb * 1e6 / 4096
+    for number in range(round(limit) + 1):
+        record = JobRecord(job_spec(f"run-{number}"), 0.0, shard="east")
+        east.leader.ctx.job_table.jobs[JobId(f"run-{number}")] = Job(record, KeyVersion(1))
+    assert east.leader.full()
+
+
+TYPES = {machine_type.name: machine_type for machine_type in (CPU, GPU)}
+ONLY_B = {"c32": msgspec.structs.replace(CPU, zones=("b",)), "g4": GPU}
+
+
+@pytest.mark.parametrize(
+    ("changes", "types", "able"),
+    [
+        ({}, TYPES, {EAST, WEST}),
+        ({"zone": "a"}, TYPES, {EAST}),
+        ({"zone": "c"}, TYPES, {WEST}),
+        ({"machine_types": ["c32"]}, ONLY_B, {WEST}),
+        ({"spread": True}, TYPES, {WEST}),
+        ({"spread": True, "task_count": 1}, TYPES, {EAST, WEST}),
+        ({"spread": True, "machine_types": ["c32"]}, ONLY_B, set()),
+        ({"spread": True, "zone": "b"}, TYPES, set()),
+    ],
+)
+def test_a_job_goes_to_a_shard_that_could_ever_run_it(
+    changes: dict[str, Any], types: dict[str, MachineType], able: set[ShardName]
+) -> None:
+    division = ShardDivision(DIVISION, random.Random(1))
+    spec = job_spec("run-1", **changes)
+    with pytest.raises(NotReadyError):
+        division.choose(spec, types, {})
+    division.in_force = True
+    news = {name: ShardLoadAnswer(False, 0.0) for name in (EAST, WEST)}
+    if not able:
+        with pytest.raises(NoShardError):
+            division.choose(spec, types, news)
+        return
+    chosen = {division.choose(spec, types, news) for _ in range(50)}
+    assert chosen == able
+
+
+def test_a_job_goes_where_the_least_waits_and_by_its_name_without_news() -> None:
+    division = ShardDivision(DIVISION, random.Random(1))
+    division.in_force = True
+    loads = {EAST: ShardLoadAnswer(False, 3.0), WEST: ShardLoadAnswer(False, 0.5)}
+    spec = job_spec("run-1")
+    assert {division.choose(spec, TYPES, loads) for _ in range(20)} == {WEST}
+    full = {**loads, WEST: ShardLoadAnswer(True, 0.5)}
+    assert {division.choose(spec, TYPES, full) for _ in range(20)} == {EAST}
+    blind = [
+        division.choose(job_spec(f"run-{n}"), TYPES, {EAST: None, WEST: None}) for n in range(40)
+    ]
+    assert set(blind) == {EAST, WEST}
+    assert blind == [
+        division.choose(job_spec(f"run-{n}"), TYPES, {EAST: None, WEST: loads[WEST]})
+        for n in range(40)
+    ]
