Shards: parts of team limits in whole tasks, room for gangs kept by turns

Change: a part is rounded to whole tasks, up only where there is a whole one left; a gang that competes asks for room for a minute out of two. Rows over three controllers: lost, late and refused writes, machines out of reach while jobs are cancelled and their shard moves, demand that goes over, a gang of the whole limit beside a steady demand.

--- a/src/ryewing/sharding/allowance.py
+++ b/src/ryewing/sharding/allowance.py
@@ -140,6 +140,27 @@
     return parts[shard] + even
 
 
+def whole_units(target: Amount, used: Amount, unit: Amount, up: bool) -> Amount:
+    """Round what a part has beyond what is used to whole tasks.
+
+    A part that ends in a piece of a task keeps that piece from others: two shards with 4.3 and 3.7
+    of 8 GPUs use 7.
+    """
+    needs = [
+        (amount, room)
+        for amount, room in (
+            (unit.cpus, target.cpus - used.cpus),
+            (unit.gpus, target.gpus - used.gpus),
+        )
+        if amount > 0
+    ]
+    if not needs:
+        return target
+    count = min(room / amount for amount, room in needs)
+    rounded = math.ceil(count - LEAST_CHANGE) if up else math.floor(count + LEAST_CHANGE)
+    return used + unit.scaled(max(0, rounded), max(0, rounded))
+
+
 def _finite(amount: float) -> float:
     """Leave out what has no limit: it is never counted against anything."""
     return amount if math.isfinite(amount) else 0.0
--- a/src/ryewing/sharding/team_limits.py
+++ b/src/ryewing/sharding/team_limits.py
@@ -19,7 +19,7 @@
 from ..leader import Leader
 from ..settings import Team
 from ..store import Put, StoreUnavailableError, readable
-from ..units import KeyVersion, ShardName, Steady, TeamName, steady_now
+from ..units import KeyVersion, ShardName, Steady, TeamName, steady_now, wall_now
 from ..wire import Entry
 from .allowance import (
     NOTHING,
@@ -30,6 +30,7 @@
     lowered,
     raised,
     target_of,
+    whole_units,
 )
 from .shard_store import ALLOWANCE_PREFIX
 
@@ -42,6 +43,8 @@
 """How often the records are read while nothing is wanted of them."""
 SMALL_PART = 0.05
 """A change of what is asked for that is no larger than this part of the limit is not told."""
+RESERVATION_S = 60.0
+"""How long room is kept for a gang, and for how long after that it is not."""
 NO_ROOM = EPSILON / 2
 """Stands for a part of nothing: a limit of 0 would say that there is none."""
 
@@ -152,16 +155,32 @@
         limit = limit_of(self._limited[name])
         record = self._with_demand(known.record, name, limit)
         target = target_of(record, self._shard, self._shards, limit)
+        demand = self._demand(name).at_most(limit)
+        least, most = self._bounds(name, target, demand)
         if record.someone_lacks(self._shard):
-            less = lowered(record, self._shard, target, self._in_use(name))
+            less = lowered(record, self._shard, least, self._in_use(name))
             record = less if less is not None else record
-        if self._pays(record.of(self._shard), target, self._demand(name).at_most(limit), limit):
-            more = raised(record, self._shard, target, limit)
-            record = more if more is not None else record
+        if self._pays(record.of(self._shard), most, demand, limit):
+            for wanted in (most, least):
+                more = raised(record, self._shard, wanted, limit)
+                if more is not None and more.of(self._shard).at_least(wanted) == wanted:
+                    record = more
+                    break
         if record == known.record and known.ceiling is None:
             return None
         return record
 
+    def _bounds(self, name: str, target: Amount, demand: Amount) -> tuple[Amount, Amount]:
+        """Give the target rounded down and up to whole tasks, where not all of them fit."""
+        waiting = self._waiting(name)
+        if demand - target == NOTHING or not waiting:
+            return target, target
+        smallest = min(waiting, key=lambda job: (job.spec.gpus, job.spec.cpus, job.id))
+        tasks = smallest.shortfall if smallest.gang else 1
+        unit = self._limited_only(name, self._needed(smallest, tasks))
+        used = self._limited_only(name, self._running(name))
+        return whole_units(target, used, unit, up=False), whole_units(target, used, unit, up=True)
+
     def _with_demand(self, record: Allowances, name: str, limit: Amount) -> Allowances:
         """Give the record with what is asked for now, if that is worth telling."""
         demand = self._demand(name).at_most(limit)
@@ -182,17 +201,43 @@
 
     def _demand(self, name: str) -> Amount:
         """Tell what a team's running and waiting work would use."""
-        waiting = [self._needed(job, job.shortfall) for job in self._waiting(name)]
+        waiting = [
+            self._needed(job, job.shortfall)
+            for job in self._waiting(name)
+            if not job.gang or self._may_reserve(name, job)
+        ]
         return self._limited_only(name, sum(waiting, start=self._running(name)))
 
+    def _may_reserve(self, name: str, job: Job) -> bool:
+        """Tell whether a waiting gang may ask for room that it can't fill at once.
+
+        Room that is kept for a gang lies idle until there is enough of it. Where others ask for the
+        same room it is kept by turns of a minute: without any, a large gang would never start
+        beside a steady demand; without an end, small work would wait beside room for ever.
+        """
+        known = self._records.get(name)
+        if known is None:
+            return True
+        others = [asked for shard, asked in known.record.demand.items() if shard != self._shard]
+        needed = self._running(name) + self._needed(job, job.shortfall)
+        wanted = self._limited_only(name, sum(others, start=needed))
+        if wanted - limit_of(self._limited[name]) == NOTHING:
+            return True
+        return (wall_now() - job.accepted_at) % (2 * RESERVATION_S) < RESERVATION_S
+
     def _claim(self, name: str, limit: Amount) -> Claim | None:
         """Claim room for the oldest job that can't be begun with less than it needs."""
-        oldest = min(self._waiting(name), key=lambda job: (job.accepted_at, job.id), default=None)
+        asking = [
+            job for job in self._waiting(name) if not job.gang or self._may_reserve(name, job)
+        ]
+        oldest = min(asking, key=lambda job: (job.accepted_at, job.id), default=None)
         if oldest is None:
             return None
-        at_once = oldest.shortfall if oldest.gang else 1
-        amount = self._limited_only(name, self._running(name) + self._needed(oldest, at_once))
-        return Claim(amount.at_most(limit), oldest.accepted_at)
+        if oldest.gang:
+            amount = self._running(name) + self._needed(oldest, oldest.shortfall)
+        else:
+            amount = self._needed(oldest, 1)
+        return Claim(self._limited_only(name, amount).at_most(limit), oldest.accepted_at)
 
     def _waiting(self, name: str) -> list[Job]:
         table = self._ctx.job_table
--- /dev/null
+++ b/tests/test_shard_limits.py
@@ -0,0 +1,222 @@
+"""Team limits over shards: the parts hold whatever is lost, late, cut off or refused."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from cluster import Cluster
+from divided_fleet import EAST, WEST, MakeCluster, begin, bring_up, broken
+from scenarios import Scenario
+from timed_workers import NAMES
+
+from ryewing.settings import Team
+from ryewing.sharding.allowance import Allowances, Amount, Claim, limit_of, target_of
+from ryewing.sharding.team_limits import ShardTeamLimits
+from ryewing.store import readable
+from ryewing.units import ShardName
+
+LIMIT = 8.0
+"""The GPUs of team red."""
+
+
+def gpu_jobs(cluster: Cluster, zone: str, count: int, first: int = 0) -> None:
+    """Submit arrays of four tasks with a GPU each."""
+    for number in range(first, first + count):
+        name = NAMES[number % 3]
+        cluster.submit(name, f"run-{number}", zone=zone, gpus=1.0, cpus=1.0, task_count=4)
+
+
+def gpus_in_use(cluster: Cluster, zones: str = "abc") -> int:
+    return sum(
+        found.status != "ended"
+        for worker in cluster.workers.values()
+        if worker.zone in zones
+        for found in worker.tasks.values()
+    )
+
+
+def parts(cluster: Cluster) -> Allowances:
+    entry = cluster.store.get("allowance/red")
+    assert entry is not None
+    record = readable(entry.data, Allowances, entry.key)
+    assert record is not None
+    return record
+
+
+@pytest.fixture
+def limited(divided: MakeCluster) -> Cluster:
+    """Two shards with more GPUs each than the team may use."""
+    cluster = divided(moves_allowed=False)
+    bring_up(cluster, 0, with_gpus=12)
+    cluster.run(12.0)
+    assert cluster.leader_of(EAST) == "n-0"
+    return cluster
+
+
+def test_a_limit_follows_the_demand(limited: Cluster) -> None:
+    """All of it where the only work is; when other work comes and tasks end, half of it there, as
+    near as whole tasks come."""
+    cluster = limited
+    gpu_jobs(cluster, "a", 4)
+    cluster.run(12.0)
+    assert gpus_in_use(cluster) == LIMIT
+    gpu_jobs(cluster, "b", 4, first=4)
+    for _ in range(8):
+        cluster.run(2.0)
+        for worker in cluster.workers.values():
+            for key in list(worker.tasks)[:1]:
+                if worker.zone == "a":
+                    worker.end_task(key)
+    cluster.run(12.0)
+    assert gpus_in_use(cluster) == LIMIT
+    assert gpus_in_use(cluster, "b") >= LIMIT / 2 - 1
+    cluster.run(20.0)
+    writes = cluster.store.writes
+    cluster.run(60.0)
+    assert cluster.store.writes - writes < 30, "steady demand is written again and again"
+
+
+def test_a_gang_that_needs_the_whole_limit_starts_beside_a_steady_demand(limited: Cluster) -> None:
+    cluster = limited
+    gpu_jobs(cluster, "a", 2)
+    cluster.run(8.0)
+    cluster.submit("n-1", "run-50", zone="b", gpus=2.0, cpus=1.0, shape="group", task_count=4)
+    for number in range(30):
+        gpu_jobs(cluster, "a", 1, first=100 + number)
+        cluster.run(2.0)
+        for worker in cluster.workers.values():
+            for key, found in list(worker.tasks.items()):
+                if found.status == "running" and not key[0].startswith("run-50/"):
+                    worker.end_task(key)
+    assert cluster.rules.starts["run-50/0"] == 1
+    assert broken(cluster) == []
+
+
+def owner_gets_no_answers(cluster: Cluster) -> None:
+    """Raises and cuts are carried out, and the leader of one shard is not told."""
+    cluster.links["n-0"].answer_lost = True
+    gpu_jobs(cluster, "b", 4, first=20)
+    for _ in range(10):
+        cluster.run(1.0)
+        cluster.end(random.Random(1).choice(list(cluster.workers.values())))
+    cluster.links["n-0"].answer_lost = False
+    gpu_jobs(cluster, "a", 4, first=30)
+    cluster.run(20.0)
+
+
+def a_cut_comes_late(cluster: Cluster) -> None:
+    """The part is given up by a write without an answer, and work comes back before it arrives."""
+    gpu_jobs(cluster, "b", 4, first=20)
+    link = cluster.links["n-0"]
+    link.late = True
+    for worker in cluster.workers.values():
+        if worker.zone == "a":
+            cluster.end(worker)
+    cluster.run(2.5)
+    gpu_jobs(cluster, "a", 4, first=30)
+    cluster.run(1.0)
+    link.late = False
+    cluster.run(1.5)
+    link.catch_up()
+    cluster.run(20.0)
+
+
+def the_store_refuses_one_owner(cluster: Cluster) -> None:
+    cluster.links["n-0"].refused = True
+    gpu_jobs(cluster, "b", 4, first=20)
+    cluster.run(20.0)
+    cluster.links["n-0"].refused = False
+    cluster.run(20.0)
+
+
+def machines_are_cut_off_while_jobs_are_cancelled_and_the_shard_moves(cluster: Cluster) -> None:
+    """What runs out of reach counts until its lease is over, whoever leads the shard."""
+    cut_off = [worker for worker in cluster.workers.values() if worker.zone == "a"]
+    for number, worker in enumerate(cut_off):
+        worker.hangs, worker.mute = bool(number % 2), not number % 2
+    for number in range(4):
+        cluster.cancel("n-1", f"run-{number}")
+    gpu_jobs(cluster, "b", 4, first=20)
+    assert begin(cluster, EAST, "n-2")
+    cluster.run(6.0)
+    cluster.dead.add("n-2")
+    cluster.run(30.0)
+
+
+@pytest.mark.parametrize(
+    "scenario",
+    [
+        owner_gets_no_answers,
+        a_cut_comes_late,
+        the_store_refuses_one_owner,
+        machines_are_cut_off_while_jobs_are_cancelled_and_the_shard_moves,
+    ],
+)
+def test_no_team_is_above_its_limit(limited: Cluster, scenario: Scenario) -> None:
+    cluster = limited
+    gpu_jobs(cluster, "a", 4)
+    cluster.run(12.0)
+    assert gpus_in_use(cluster) == LIMIT
+    scenario(cluster)
+    assert broken(cluster) == []
+    assert parts(cluster).total().gpus <= LIMIT
+
+
+def test_a_part_counts_as_lowered_from_before_the_write_and_as_raised_after_it(
+    limited: Cluster,
+) -> None:
+    """Without an answer the lower one counts, until a later write is confirmed."""
+    cluster = limited
+    leader = cluster.leader("n-0", EAST)
+    assert leader is not None
+    limits = leader.ctx.team_limits
+    assert isinstance(limits, ShardTeamLimits)
+
+    def part() -> float:
+        return limits.teams()["red"].gpus_max
+
+    assert part() == pytest.approx(LIMIT / 2)
+    cluster.links["n-0"].late = True  # its own part is lowered, the answer does not come
+    gpu_jobs(cluster, "b", 3)
+    cluster.run(4.0)
+    low = part()
+    assert low < LIMIT / 2
+    cluster.links["n-0"].late = False
+    limits._read()
+    assert limits._records["red"].record.of(ShardName(EAST)).gpus > low  # as the store has it
+    assert part() == low
+    gpu_jobs(cluster, "a", 3, first=10)
+    cluster.run(4.0)
+    assert part() <= LIMIT
+    assert broken(cluster) == []
+
+
+RED = limit_of(Team("red", gpus_max=LIMIT))
+SHARDS = [ShardName(EAST), ShardName(WEST)]
+
+
+@pytest.mark.parametrize(
+    ("demand", "claims", "targets"),
+    [
+        ({}, {}, (4.0, 4.0)),
+        ({EAST: 6.0}, {}, (7.0, 1.0)),
+        ({EAST: 8.0, WEST: 8.0}, {}, (4.0, 4.0)),
+        ({EAST: 30.0, WEST: 2.0}, {}, (6.4, 1.6)),
+        ({EAST: 8.0, WEST: 8.0}, {WEST: (7.0, 5.0)}, (8 / 9, 64 / 9)),
+        ({EAST: 8.0, WEST: 8.0}, {WEST: (8.0, 5.0), EAST: (8.0, 4.0)}, (8.0, 0.0)),
+    ],
+)
+def test_what_each_part_should_be(
+    demand: dict[str, float],
+    claims: dict[str, tuple[float, float]],
+    targets: tuple[float, float],
+) -> None:
+    """Each shard comes to the same from one record: the oldest claim, then demand, then evenly."""
+    record = Allowances(
+        {},
+        {shard: Amount(gpus=gpus) for shard, gpus in demand.items()},
+        {shard: Claim(Amount(gpus=gpus), since) for shard, (gpus, since) in claims.items()},
+    )
+    found = [target_of(record, shard, SHARDS, RED).gpus for shard in SHARDS]
+    assert found == pytest.approx(list(targets))
