A controller that is not healthy gives way too; rows for guards that had none

Cause: a holder of a shard's lease looked whether the record names another owner only while its own health key was there, so one that had lost the key and kept the lease was waited for. Found by the row that takes the key away.

Change: giving way comes first. Rows for the health key, a sealed owner's restart, a cancel that its shard's leader can't have read, drained terms, room kept for gangs by turns, unheard machines in a lowered part. The harness's check of jobs that wait beside room counted one task's GPUs for a gang; it counts all that a gang needs of the limit.

--- a/src/ryewing/sharding/coordinator.py
+++ b/src/ryewing/sharding/coordinator.py
@@ -149,6 +149,8 @@
         return found
 
     def _act(self, found: Registration) -> None:
+        for name, seen in found.shards.items():
+            self._give_way(name, seen)
         if self._node not in found.healthy:
             return
         for name, seen in found.shards.items():
@@ -218,9 +220,6 @@
             return
         record = seen.record
         leader = self._candidacies[name].leader
-        if leader is not None and (record is None or not record.leads(self._node)):
-            leader.resign(NOT_OWNER)
-            return
         if record is None or self._is_orphan(record, found.healthy):
             self._adopt(name, seen, found)
             return
@@ -232,6 +231,12 @@
         elif leader is not None and leader.ctx.loaded.is_set():
             self._take(name, seen, lambda old: finish(old, self._node) if old else None)
 
+    def _give_way(self, name: ShardName, seen: StoredOwnership) -> None:
+        """Resign if the record names another owner, who waits for the lease."""
+        leader = self._candidacies[name].leader
+        if leader is not None and seen.record is not None and not seen.record.leads(self._node):
+            leader.resign(NOT_OWNER)
+
     def _settle(self, name: ShardName, seen: StoredOwnership, leader: Leader | None) -> None:
         """Resign once nothing is under way, then say so."""
         if leader is not None:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -384,7 +384,9 @@
                 limit = leader.ctx.teams[need.team].gpus_max
                 if job.shortfall <= 0 or job.backoff_s:
                     continue
-                if limit and used[need.team] + need.gpus > limit:
+                # A gang waits for all it needs of the limit, an array for one task's part.
+                at_once = job.shortfall if job.gang else 1
+                if limit and used[need.team] + at_once * need.gpus > limit:
                     continue
                 found += [f"{job.id} beside {name}" for name in self._idle_for(leader, need)]
         return found
--- a/tests/test_shard_limits.py
+++ b/tests/test_shard_limits.py
@@ -7,6 +7,8 @@
 import pytest
 from cluster import Cluster
 from divided_fleet import EAST, WEST, MakeCluster, begin, bring_up, broken
+from fakes import GPU
+from harness import LeaderHarness
 from scenarios import Scenario
 from timed_workers import NAMES
 
@@ -14,7 +16,8 @@
 from ryewing.sharding.allowance import Allowances, Amount, Claim, limit_of, target_of
 from ryewing.sharding.team_limits import ShardTeamLimits
 from ryewing.store import readable
-from ryewing.units import ShardName
+from ryewing.term_scope import TermScope
+from ryewing.units import ShardName, Zone
 
 LIMIT = 8.0
 """The GPUs of team red."""
@@ -220,3 +223,29 @@
     )
     found = [target_of(record, shard, SHARDS, RED).gpus for shard in SHARDS]
     assert found == pytest.approx(list(targets))
+
+
+def test_small_work_does_not_wait_for_ever_beside_room_that_a_gang_wants(limited: Cluster) -> None:
+    """A gang that could only start once all others have ended keeps room by turns."""
+    cluster = limited
+    gpu_jobs(cluster, "a", 1)
+    cluster.run(6.0)
+    cluster.submit("n-1", "run-50", zone="b", gpus=2.0, cpus=1.0, shape="group", task_count=4)
+    cluster.run(6.0)
+    gpu_jobs(cluster, "a", 1, first=1)
+    cluster.run(90.0)
+    assert gpus_in_use(cluster, "a") == LIMIT
+
+
+def test_a_part_is_not_lowered_below_what_unheard_machines_may_hold(
+    harness: LeaderHarness,
+) -> None:
+    harness.scope = TermScope(ShardName(EAST), frozenset({Zone("a")}), 0.5)
+    harness.new_leader(5)
+    worker = harness.worker("i-000001", machine_type="g4", zone="a")
+    harness.ready(worker)
+    successor = harness.new_leader(6)
+    limits = ShardTeamLimits(successor, ShardName(EAST), SHARDS)
+    assert limits._in_use("red") == Amount(gpus=GPU.gpus)
+    harness.ready(worker)
+    assert limits._in_use("red") == Amount()
--- a/tests/test_sharded_controllers.py
+++ b/tests/test_sharded_controllers.py
@@ -23,7 +23,9 @@
 from scenarios import Scenario
 from timed_workers import NAMES
 
+from ryewing.sharding.health import NODE_PREFIX, ControllerHealth
 from ryewing.sharding.ownership import Phase
+from ryewing.store import Remove
 
 
 def test_two_shards_are_led_by_two_controllers(divided: MakeCluster) -> None:
@@ -201,6 +203,41 @@
     assert cluster.leader("n-0", EAST) is None
 
 
+def the_owner_of_a_sealed_shard_restarts(cluster: Cluster) -> None:
+    """Its new process does not take the lease up again: the target is the next to lead."""
+    move_until(cluster, Phase.SEALED)
+    cluster.dead.add("n-0")
+    cluster.boot("n-0")
+    cluster.run(8.0)
+    leader = cluster.leader("n-2", EAST)
+    assert leader is not None
+    assert leader.term == 2
+
+
+def a_health_key_is_lost(cluster: Cluster) -> None:
+    """A late write of an earlier process takes it away: others take over, and the owner, whose
+    lease goes on, gives way; then its key comes back."""
+    keep = ControllerHealth.keep
+    health = cluster.coordinators["n-0"]._health
+    health.keep = lambda: None  # type: ignore[method-assign]
+    cluster.store.txn({}, [Remove(NODE_PREFIX + "n-0")])
+    cluster.run(1.0)
+    assert record_of(cluster, EAST).owner != "n-0"
+    assert cluster.leader("n-0", EAST) is None
+    health.keep = lambda: keep(health)  # type: ignore[method-assign]
+    cluster.run(0.75)
+    assert "n-0" in ownership(cluster).healthy
+
+
+def cancelled_while_the_leader_hears_no_changes(cluster: Cluster) -> None:
+    """The leader of the job's own shard is told before its user is."""
+    cluster.links["n-0"].mute_watch = True
+    assert cluster.cancel("n-2", "run-0") == 200
+    cluster.ask_all("run-0")
+    cluster.run(3.0)
+    cluster.ask_all("run-0")
+
+
 def nobody_owns_it_for_a_minute(cluster: Cluster) -> None:
     """The store turns every controller away in the middle of a move."""
     move_until(cluster, Phase.SETTLED)
@@ -241,6 +278,9 @@
         a_gang_is_cancelled,
         a_spot_notice_comes,
         both_owners_hear_a_worker,
+        the_owner_of_a_sealed_shard_restarts,
+        a_health_key_is_lost,
+        cancelled_while_the_leader_hears_no_changes,
         nobody_owns_it_for_a_minute,
         the_owner_can_reach_no_workers,
         an_owner_freezes,
--- a/tests/test_sharding.py
+++ b/tests/test_sharding.py
@@ -100,6 +100,22 @@
     assert msgspec.structs.replace(west, changed_at=0.0) == Ownership("n-1", 1)
 
 
+@pytest.mark.parametrize(
+    ("record", "campaigns", "starts"),
+    [
+        (Ownership("n-0", 1), "n-0", "n-0"),
+        (Ownership("n-0", 2, Phase.SEALED, "n-1"), None, None),
+        (Ownership("n-0", 3, Phase.SETTLED, "n-1"), "n-1", None),
+    ],
+)
+def test_who_may_campaign_and_who_may_start(
+    record: Ownership, campaigns: str | None, starts: str | None
+) -> None:
+    """Of a sealed shard nobody takes the lease up; of a settled one the target gathers first."""
+    assert [node for node in NODES if record.may_campaign(node)] == [campaigns] * bool(campaigns)
+    assert [node for node in NODES if record.may_start(node)] == [starts] * bool(starts)
+
+
 class Controllers:
     """Three controllers that take the steps of one shard's record, over a store that fails."""
 
--- a/tests/test_term_scope.py
+++ b/tests/test_term_scope.py
@@ -88,6 +88,20 @@
     assert len(starts(east.exchange(worker))) == 2
 
 
+def test_a_term_is_drained_once_nothing_is_under_way(east: LeaderHarness) -> None:
+    """No start of which it isn't known whether it arrived, and no finish to be written."""
+    worker = east.ready_worker()
+    assert east.leader.drained()
+    east.begin(worker, task_count=1)
+    assert not east.leader.drained()
+    east.exchange(worker)
+    assert east.leader.drained()
+    east.end(worker)
+    assert not east.leader.drained()
+    east.write()
+    assert east.leader.drained()
+
+
 def test_the_parts_of_all_terms_are_within_each_rate(east: LeaderHarness) -> None:
     leader, params = east.leader, east.settings.params
     renter = Renter(leader.ctx, leader.writer, leader.dispatch, leader.placer)
