Shards: room that brings no start in a minute is not asked for in the next

Change: a team's progress in a shard is watched; while nothing has been started for a minute one small task is asked for, for a minute. It takes the place of the turns by which gangs kept room.

--- a/src/ryewing/sharding/team_limits.py
+++ b/src/ryewing/sharding/team_limits.py
@@ -19,7 +19,7 @@
 from ..leader import Leader
 from ..settings import Team
 from ..store import Put, StoreUnavailableError, readable
-from ..units import KeyVersion, ShardName, Steady, TeamName, steady_now, wall_now
+from ..units import KeyVersion, ShardName, Steady, TeamName, steady_now
 from ..wire import Entry
 from .allowance import (
     NOTHING,
@@ -44,7 +44,7 @@
 SMALL_PART = 0.05
 """A change of what is asked for that is no larger than this part of the limit is not told."""
 RESERVATION_S = 60.0
-"""How long room is kept for a gang, and for how long after that it is not."""
+"""How long room is asked for in vain, and for how long after that it is not."""
 NO_ROOM = EPSILON / 2
 """Stands for a part of nothing: a limit of 0 would say that there is none."""
 
@@ -66,6 +66,34 @@
         return part if self.ceiling is None else part.at_most(self.ceiling)
 
 
+class _Progress:
+    """Whether a team's work in this shard gets on.
+
+    Room that is kept for a gang lies idle until there is enough of it, and room that no machine has
+    lies idle as well, while another shard may have work and machines for it. So what was asked for
+    and brought no start in a minute is not asked for in the next one: without any such room a large
+    gang would never start beside a steady demand, without an end small work elsewhere would wait
+    for ever.
+    """
+
+    __slots__ = ("_running", "_since")
+
+    def __init__(self, now: Steady) -> None:
+        self._running = NOTHING
+        self._since = now
+
+    def note(self, running: Amount, waits: bool, now: Steady) -> None:
+        """Take note of what runs now, and whether anything waits."""
+        rose = running - self._running != NOTHING
+        if rose or not waits or now - self._since >= 2 * RESERVATION_S:
+            self._since = now
+        self._running = running
+
+    def stuck(self, now: Steady) -> bool:
+        """Tell whether nothing has been started for too long."""
+        return now - self._since >= RESERVATION_S
+
+
 class ShardTeamLimits:
     """The parts of one term; ends with it."""
 
@@ -78,6 +106,7 @@
             team.name: team for team in self._ctx.teams.values() if team.cpus_max or team.gpus_max
         }
         self._records: dict[str, _TeamRecord] = {}
+        self._progress = {name: _Progress(steady_now()) for name in self._limited}
         self._read_at = Steady(-1e9)
 
     def teams(self) -> dict[str, Team]:
@@ -110,6 +139,8 @@
         if not self._limited or not self._ctx.may_begin() or not self._leader.placer.gathered:
             return
         now = steady_now()
+        for name, progress in self._progress.items():
+            progress.note(self._running(name), bool(self._waiting(name)), now)
         if now - self._read_at >= READ_EVERY_S or self._wants_more():
             self._read()
             self._read_at = now
@@ -175,7 +206,7 @@
         waiting = self._waiting(name)
         if demand - target == NOTHING or not waiting:
             return target, target
-        smallest = min(waiting, key=lambda job: (job.spec.gpus, job.spec.cpus, job.id))
+        smallest = min(waiting, key=_size)
         tasks = smallest.shortfall if smallest.gang else 1
         unit = self._limited_only(name, self._needed(smallest, tasks))
         used = self._limited_only(name, self._running(name))
@@ -201,36 +232,21 @@
 
     def _demand(self, name: str) -> Amount:
         """Tell what a team's running and waiting work would use."""
-        waiting = [
-            self._needed(job, job.shortfall)
-            for job in self._waiting(name)
-            if not job.gang or self._may_reserve(name, job)
-        ]
+        stuck = self._progress[name].stuck(steady_now())
+        waiting = [self._needed(job, 1 if stuck else job.shortfall) for job in self._asking(name)]
         return self._limited_only(name, sum(waiting, start=self._running(name)))
 
-    def _may_reserve(self, name: str, job: Job) -> bool:
-        """Tell whether a waiting gang may ask for room that it can't fill at once.
-
-        Room that is kept for a gang lies idle until there is enough of it. Where others ask for the
-        same room it is kept by turns of a minute: without any, a large gang would never start
-        beside a steady demand; without an end, small work would wait beside room for ever.
-        """
-        known = self._records.get(name)
-        if known is None:
-            return True
-        others = [asked for shard, asked in known.record.demand.items() if shard != self._shard]
-        needed = self._running(name) + self._needed(job, job.shortfall)
-        wanted = self._limited_only(name, sum(others, start=needed))
-        if wanted - limit_of(self._limited[name]) == NOTHING:
-            return True
-        return (wall_now() - job.accepted_at) % (2 * RESERVATION_S) < RESERVATION_S
+    def _asking(self, name: str) -> list[Job]:
+        """List the waiting jobs that room is asked for: while nothing gets on, a small one's task."""
+        waiting = self._waiting(name)
+        if not self._progress[name].stuck(steady_now()):
+            return waiting
+        small = [job for job in waiting if not job.gang]
+        return [min(small, key=_size)] if small else []
 
     def _claim(self, name: str, limit: Amount) -> Claim | None:
         """Claim room for the oldest job that can't be begun with less than it needs."""
-        asking = [
-            job for job in self._waiting(name) if not job.gang or self._may_reserve(name, job)
-        ]
-        oldest = min(asking, key=lambda job: (job.accepted_at, job.id), default=None)
+        oldest = min(self._asking(name), key=lambda job: (job.accepted_at, job.id), default=None)
         if oldest is None:
             return None
         if oldest.gang:
@@ -290,6 +306,11 @@
         self._ctx.place.set()
 
 
+def _size(job: Job) -> tuple[float, float, str]:
+    """Order jobs by what a task takes."""
+    return job.spec.gpus, job.spec.cpus, job.id
+
+
 def _similar(one: Amount, other: Amount, limit: Amount) -> bool:
     """Tell whether two amounts differ by a small part of a limit at most."""
     return all(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -52,7 +52,7 @@
 
 def _clock_of_cluster(monkeypatch: pytest.MonkeyPatch) -> Clock:
     clock = moved_by_hand(monkeypatch, *TERM_PARTS, *NODE_PARTS, *SHARDING_PARTS)
-    for part in ("api", "placer", "sharding.registry", "sharding.team_limits"):
+    for part in ("api", "placer", "sharding.registry"):
         monkeypatch.setattr(f"ryewing.{part}.wall_now", clock)
     monkeypatch.setattr("ryewing.leader.Leader.start", lambda leader: None)
     monkeypatch.setattr("gevent.sleep", lambda _seconds: None)
