A sealed shard waits for writes under way, not for all that is to be written

Cause: on loopback the owner of a sealed shard took 4.6 s to resign: it waited until every finish was written, and the write rate was used up.

Change: it waits for starts to be seen and for a transaction's answer alone. Workers keep their finishes until these are written, so a successor learns them.

--- a/src/ryewing/leader.py
+++ b/src/ryewing/leader.py
@@ -96,10 +96,13 @@
         return ImageHint(int(self.term), *self.ctx.cluster.images(), failing)
 
     def drained(self) -> bool:
-        """Tell whether nothing is under way whose outcome a successor would have to find out."""
+        """Tell whether nothing is under way whose outcome a successor would have to find out.
+
+        What is not written yet does not count: workers keep their finishes until they are.
+        """
         if not self.ctx.loaded.is_set():
             return True
-        return self.writer.idle() and not any(
+        return not self.writer.in_flight() and not any(
             machine.leaving
             or any(
                 assignment.phase == TaskPhase.SENT for assignment in machine.assignments.values()
--- a/src/ryewing/writer.py
+++ b/src/ryewing/writer.py
@@ -121,6 +121,7 @@
         """Jobs whose final state may or may not be written: only the store can tell."""
         self._unanswered: set[JobId] = set()
         """Those of them for which a write got no answer: it may be carried out after later ones."""
+        self._sending = False
         self._on_final = on_final
         self._on_record = on_record
         self._ops_max = self._ops_allowed = limits.txn_ops
@@ -152,9 +153,9 @@
                 self.ctx.write.set()
             gevent.sleep(0.08)  # lets finishes gather, so that one write carries many
 
-    def idle(self) -> bool:
-        """Tell whether the store has all that is to be kept."""
-        return not self.ctx.job_table.dirty and not self.to_record and not self.final_pending
+    def in_flight(self) -> bool:
+        """Tell whether a transaction waits for its answer."""
+        return self._sending
 
     def _wanted_writes(self) -> list[_Write]:
         """Name what the store lacks, the most urgent first."""
@@ -304,7 +305,11 @@
         conditions: dict[str, KeyVersion] = {}
         for write in chosen:
             conditions.update(write.conditions)
-        return self.ctx.store.txn(self.ctx.leadership.fenced(conditions), ops)
+        self._sending = True
+        try:
+            return self.ctx.store.txn(self.ctx.leadership.fenced(conditions), ops)
+        finally:
+            self._sending = False
 
     def _take_result(self, chosen: Sequence[_Write], result: TxnResult) -> None:
         for write in chosen:
