Shards: what a team asks for stands apart from the records that it is told in

Change: `TeamDemand`, one for each limited team of a term; `ShardTeamLimits` keeps the records. No decision changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -47,7 +47,12 @@
 
 
 NODE_PARTS = ("api", "node", "candidacy")
-SHARDING_PARTS = ("sharding.coordinator", "sharding.health", "sharding.team_limits")
+SHARDING_PARTS = (
+    "sharding.coordinator",
+    "sharding.health",
+    "sharding.team_demand",
+    "sharding.team_limits",
+)
 
 
 def _clock_of_cluster(monkeypatch: pytest.MonkeyPatch) -> Clock:
--- a/tests/test_shard_limits.py
+++ b/tests/test_shard_limits.py
@@ -14,6 +14,7 @@
 
 from ryewing.settings import Team
 from ryewing.sharding.allowance import Allowances, Amount, Claim, limit_of, target_of
+from ryewing.sharding.team_demand import TeamDemand
 from ryewing.sharding.team_limits import ShardTeamLimits
 from ryewing.store import readable
 from ryewing.term_scope import TermScope
@@ -245,7 +246,7 @@
     worker = harness.worker("i-000001", machine_type="g4", zone="a")
     harness.ready(worker)
     successor = harness.new_leader(6)
-    limits = ShardTeamLimits(successor, ShardName(EAST), SHARDS)
-    assert limits._in_use("red") == Amount(gpus=GPU.gpus)
+    demand = TeamDemand(successor.ctx, Team("red", gpus_max=LIMIT))
+    assert demand.in_use() == Amount(gpus=GPU.gpus)
     harness.ready(worker)
-    assert limits._in_use("red") == Amount()
+    assert demand.in_use() == Amount()
