Shards: the choice of owners stands apart; gangs of the played cluster end as a gang

Change: only running tasks end, and a gang whose mate is done counts as complete. `OwnerChoice` is parted from the coordinator; no decision changes.

--- a/src/ryewing/sharding/coordinator.py
+++ b/src/ryewing/sharding/coordinator.py
@@ -18,10 +18,9 @@
 from ..leader import Leader
 from ..store import Store, StoreUnavailableError, WatchExpiredError
 from ..units import NodeName, Revision, ShardName, Steady, steady_now
-from . import greedy
 from .division import ShardDivision
 from .health import ControllerHealth
-from .load import Assignment, NodeRoom, PlanInputs, ShardLoad
+from .owner_choice import OwnerChoice
 from .ownership import (
     MoveRefusedError,
     Ownership,
@@ -33,7 +32,6 @@
     repair,
     settle,
 )
-from .planner import next_move
 from .registry import (
     SHARDS_PREFIX,
     DivisionDiffersError,
@@ -86,16 +84,10 @@
         self._registry = ShardRegistry(store)
         self._health = health
         self._candidacies = candidacies
-        self._pins = {
-            ShardName(spec.name): NodeName(spec.pinned_to)
-            for spec in settings.shards
-            if spec.pinned_to is not None
-        }
+        self._choice = OwnerChoice(settings)
         self.records: dict[ShardName, Ownership] = {}
         """The ownership of each shard as it was last read."""
         self._began = steady_now()
-        self._owned_since: dict[ShardName, tuple[str, Steady | None]] = {}
-        """By shard its owner, and since when, if that was seen."""
         self._sealed_since: dict[ShardName, Steady] = {}
         self._orphaned_since: dict[ShardName, Steady] = {}
         self._planned_at = self._began
@@ -177,13 +169,11 @@
 
     def _take_note(self, found: Registration) -> None:
         now = steady_now()
+        self._choice.note(found)
         for name, seen in found.shards.items():
             if seen.record is None:
                 continue
             self.records[name] = seen.record
-            owner, _since = self._owned_since.get(name, ("", None))
-            if owner != seen.record.owner:
-                self._owned_since[name] = (seen.record.owner, now if owner else None)
             self._note_phase(name, seen.record, now)
             leader = self._candidacies[name].leader
             if leader is not None and leader.ctx.sealed == self._may_begin(name):
@@ -255,7 +245,7 @@
         others = found.healthy - {self._node}
         if not others:
             return
-        target = self._assignment(found, others)[name]
+        target = self._choice.assignment(found, others)[name]
         self._take(name, seen, lambda old: hand_off(old, self._node, target) if old else None)
 
     def _is_orphan(self, record: Ownership, healthy: set[NodeName]) -> bool:
@@ -275,7 +265,7 @@
         nodes = found.healthy
         if seen.record is None and now - self._began < START_GRACE_S:
             nodes = nodes | self._members
-        chosen = self._assignment(found, nodes)[name]
+        chosen = self._choice.assignment(found, nodes)[name]
         if chosen != self._node and now - since < ORPHAN_PATIENCE_S:
             return
         self._take(name, seen, partial(self._adoption, healthy=found.healthy))
@@ -300,52 +290,20 @@
 
     # -- planning ---------------------------------------------------------------------------
 
-    def _assignment(self, found: Registration, nodes: set[NodeName]) -> Assignment:
-        """Choose owners for shards without one, so that every controller chooses the same: by the
-        records alone, and without moves."""
-        return greedy.assign(self._inputs(found, nodes, moves_allowed=False))
-
-    def _inputs(self, found: Registration, nodes: set[NodeName], moves_allowed: bool) -> PlanInputs:
-        loads = []
-        for name, seen in found.shards.items():
-            record = seen.record
-            next_owner = NodeName(record.target or record.owner) if record is not None else None
-            _owner, moved_at = self._owned_since.get(name, ("", None))
-            loads.append(
-                ShardLoad(
-                    name,
-                    1.0,
-                    next_owner if next_owner in nodes else None,
-                    self._pins.get(name),
-                    moved_at,
-                )
-            )
-        rooms = [NodeRoom(node, 1.0) for node in sorted(nodes)]
-        return PlanInputs(loads, rooms, steady_now(), self._settings.settle_s, moves_allowed)
-
     def _plan(self, found: Registration) -> None:
         """Begin a move that evens out the shards, if this controller is the one to plan."""
         now = steady_now()
         if self._node != min(found.healthy) or now - self._planned_at < PLAN_EVERY_S:
             return
         self._planned_at = now
-        for name in self._candidacies:
-            record = self.records.get(name)
-            if record is None or record.phase is not Phase.OWNED:
-                return  # one move at a time
-            if record.owner not in found.healthy:
-                return
-        inputs = self._inputs(found, found.healthy, self._settings.moves_allowed)
-        owners = greedy.assign(inputs)
-        name_to_move = next_move(inputs, owners)
-        if name_to_move is None:
+        move = self._choice.move(found)
+        if move is None:
             return
-        target = owners[name_to_move]
         try:
             self._take(
-                name_to_move,
-                found.shards[name_to_move],
-                lambda old: begin_move(old, target, found.healthy) if old else None,
+                move.shard,
+                found.shards[move.shard],
+                lambda old: begin_move(old, move.target, found.healthy) if old else None,
             )
         except MoveRefusedError as error:
-            log.info("event=move-refused shard=%s why=%r", name_to_move, str(error))
+            log.info("event=move-refused shard=%s why=%r", move.shard, str(error))
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -335,7 +335,7 @@
         return bool(wanted.shape == GROUP) and bool(wanted.task_count > 1)
 
     def is_complete(self, key: tuple[str, int]) -> bool:
-        """Tell whether all tasks of a gang's attempt are on machines."""
+        """Tell whether all tasks of a gang's attempt are on machines, or have been."""
         task = parse_task(key[0])
         assert task is not None
         there = {
@@ -344,7 +344,7 @@
             for other, found in worker.tasks.items()
             if other[1] == key[1]
             and other[0].startswith(f"{task.job}/")
-            and found.status in ("gathering", "running")
+            and (found.status in ("gathering", "running") or found.cause == "done")
         }
         return len(there) == int(self.rules.runs[task.job].task_count)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -50,6 +50,7 @@
 SHARDING_PARTS = (
     "sharding.coordinator",
     "sharding.health",
+    "sharding.owner_choice",
     "sharding.team_demand",
     "sharding.team_limits",
 )
--- a/tests/timed_workers.py
+++ b/tests/timed_workers.py
@@ -68,6 +68,12 @@
         self.tasks[key] = ReportedTask(*key, status, cause)
         self.next_report = min(self.next_report, self._cluster.clock() + 0.5)
 
+    def finish(self, cause: str = "done") -> None:
+        """End everything that runs here; what waits for its gang makes no progress."""
+        for key, found in list(self.tasks.items()):
+            if found.status not in ("ended", "gathering"):
+                self.end_task(key, cause)
+
     def _tend_gangs(self) -> None:
         """Begin the gangs that are complete; give up what has waited for too long."""
         for key, found in list(self.tasks.items()):
