--- a/tests/test_sharded_controllers.py
+++ b/tests/test_sharded_controllers.py
@@ -26,6 +26,7 @@
 from ryewing.sharding.health import NODE_PREFIX, ControllerHealth
 from ryewing.sharding.ownership import Phase
 from ryewing.store import Remove
+from ryewing.units import NodeName, Steady
 
 
 def test_two_shards_are_led_by_two_controllers(divided: MakeCluster) -> None:
@@ -334,3 +335,22 @@
     assert not other.latest_leaders()
     cluster.run(4.0)
     assert len(cluster.latest_leaders()) == first
+
+
+def test_two_controllers_that_plan_differently(divided: MakeCluster) -> None:
+    """One sees another set of healthy controllers: each shard goes one way, and its jobs go on."""
+    cluster = divided(3, settle_s=0.0)
+    jobs_in_both(cluster)
+    cluster.dead.add("n-2")
+    cluster.run(10.0)
+    cluster.boot("n-2")
+    cluster.run(0.25)
+    seen = ownership(cluster)
+    assert seen.healthy == set(NAMES)
+    for name, healthy in (("n-0", seen.healthy), ("n-1", {NodeName("n-1"), NodeName("n-2")})):
+        planner = cluster.coordinators[name]
+        planner._planned_at = Steady(0.0)
+        planner._act(seen._replace(healthy=healthy))
+    cluster.run(20.0)
+    assert all_owned(cluster)
+    all_done(cluster)
