--- a/src/ryewing/sharding/coordinator.py
+++ b/src/ryewing/sharding/coordinator.py
@@ -175,9 +175,7 @@
                 continue
             self.records[name] = seen.record
             self._note_phase(name, seen.record, now)
-            leader = self._candidacies[name].leader
-            if leader is not None and leader.ctx.sealed == self._may_begin(name):
-                self._set_sealed(leader, not leader.ctx.sealed)
+            self._update_seal(name)
 
     def _note_phase(self, name: ShardName, record: Ownership, now: Steady) -> None:
         if record.phase is Phase.SEALED:
@@ -185,14 +183,14 @@
         else:
             self._sealed_since.pop(name, None)
 
-    def _set_sealed(self, leader: Leader, sealed: bool) -> None:
+    def _update_seal(self, name: ShardName) -> None:
+        """Let a leader here begin what it may by the shard's record, and nothing more."""
+        leader = self._candidacies[name].leader
+        sealed = not self._may_begin(name)
+        if leader is None or leader.ctx.sealed == sealed:
+            return
         leader.ctx.sealed = sealed
-        log.info(
-            "event=%s shard=%s term=%d",
-            "sealed" if sealed else "unsealed",
-            leader.ctx.scope.shard,
-            leader.term,
-        )
+        log.info("event=%s shard=%s term=%d", "sealed" if sealed else "unsealed", name, leader.term)
         leader.ctx.place.set()
 
     def _busy(self) -> bool:
@@ -284,9 +282,7 @@
         taken = self._registry.take(name, seen, step)
         if taken is not None:
             self.records[name] = taken
-            leader = self._candidacies[name].leader
-            if leader is not None and leader.ctx.sealed == self._may_begin(name):
-                self._set_sealed(leader, not leader.ctx.sealed)
+            self._update_seal(name)
 
     # -- planning ---------------------------------------------------------------------------
 
--- a/src/ryewing/sharding/team_demand.py
+++ b/src/ryewing/sharding/team_demand.py
@@ -74,10 +74,10 @@
             amount = self._needed(oldest, 1)
         return Claim(amount.at_most(self.limit), oldest.accepted_at)
 
-    def in_whole_tasks(self, target: Amount) -> tuple[Amount, Amount]:
-        """Round a part down and up to whole tasks, where not all of them fit into it."""
+    def in_whole_tasks(self, target: Amount, wanted: Amount) -> tuple[Amount, Amount]:
+        """Round a part down and up to whole tasks, where not all that is wanted fits into it."""
         waiting = self._waiting()
-        if self.wanted() - target == NOTHING or not waiting:
+        if wanted - target == NOTHING or not waiting:
             return target, target
         smallest = min(waiting, key=_size)
         unit = self._needed(smallest, smallest.shortfall if smallest.gang else 1)
--- a/src/ryewing/sharding/team_limits.py
+++ b/src/ryewing/sharding/team_limits.py
@@ -153,12 +153,13 @@
         if known is None:
             return None
         demand = self._demands[name]
-        record = self._with_demand(known.record, demand)
+        wanted = demand.wanted()
+        record = self._with_demand(known.record, demand, wanted)
         target = target_of(record, self._shard, self._shards, demand.limit)
-        least, most = demand.in_whole_tasks(target)
+        least, most = demand.in_whole_tasks(target, wanted)
         if record.someone_lacks(self._shard):
             record = lowered(record, self._shard, least, demand.in_use()) or record
-        if self._pays(record.of(self._shard), most, demand):
+        if self._pays(record.of(self._shard), most, wanted, demand.limit):
             record = self._raised(record, (most, least), demand.limit)
         if record == known.record and known.ceiling is None:
             return None
@@ -174,9 +175,8 @@
                 return more
         return record
 
-    def _with_demand(self, record: Allowances, demand: TeamDemand) -> Allowances:
+    def _with_demand(self, record: Allowances, demand: TeamDemand, wanted: Amount) -> Allowances:
         """Give the record with what is asked for now, if that is worth telling."""
-        wanted = demand.wanted()
         part = record.of(self._shard)
         lacks = wanted - part != NOTHING
         claim = demand.claim() if lacks else None
@@ -188,9 +188,9 @@
             return record
         return record.asking(self._shard, wanted, claim)
 
-    def _pays(self, part: Amount, target: Amount, demand: TeamDemand) -> bool:
+    def _pays(self, part: Amount, target: Amount, wanted: Amount, limit: Amount) -> bool:
         """Tell whether a raise is worth a write: for work that waits, or for much of the limit."""
-        return demand.wanted() - part != NOTHING or not _similar(part, target, demand.limit)
+        return wanted - part != NOTHING or not _similar(part, target, limit)
 
     # -- writing ----------------------------------------------------------------------------
 
