--- a/review/platform2/site.py
+++ b/review/platform2/site.py
@@ -38,6 +38,18 @@
         "ready_s": 45,
         "sites": ZONES,
     },
+    {
+        "sku": "ashanti24g",
+        "vcpus": 24,
+        "cards": 4,
+        "mem_gb": 192,
+        "local_gb": 50,
+        "fetch_gb_per_s": 0.5,
+        "price": 10.33,
+        "spot_price": 3.4,
+        "ready_s": 60,
+        "sites": ZONES,
+    },
     {
         "sku": "veld64",
         "vcpus": 64,
--- a/review/platform2/worker.py
+++ b/review/platform2/worker.py
@@ -149,8 +149,9 @@
         self._leave(task, "done")
         task.status, task.cause = "ended", "done"
 
-    def _free(self, name: str) -> float:
-        used = sum(t.job[name] for t in self.tasks.values() if t.status != "ended")
+    def free(self, name: str) -> float:
+        """Return how much of a resource no task uses."""
+        used = sum(t.job[name] for t in list(self.tasks.values()) if t.status != "ended")
         return float(self.machine[name] - used)
 
     def _execute(self, orders: list[dict[str, Any]]) -> None:
@@ -176,7 +177,7 @@
             refused = "unknown"
         elif any(t.piece == piece and t.status != "ended" for t in self.tasks.values()):
             refused = "in_use"
-        elif any(job[n] > self._free(n) + 1e-6 for n in ("vcpus", "cards", "mem_gb")):
+        elif any(job[n] > self.free(n) + 1e-6 for n in ("vcpus", "cards", "mem_gb")):
             refused = "no_room"
         self.tasks[piece, attempt] = task
         if refused is not None or job is None:
