--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # only checks that the interpreter reads them; the controllers are built by deploy/service.toml.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -c '
+python3 -B -c '
 import ast, pathlib, sys
 for path in sorted(pathlib.Path(".").glob("platform2/*.py")):
     ast.parse(path.read_text(encoding="utf-8"), str(path))
--- a/review/platform2/site.py
+++ b/review/platform2/site.py
@@ -191,7 +191,7 @@
                 cwd=ROOT,
                 stderr=log,
                 stdout=log,
-                env={**os.environ, "LOG_LEVEL": "info"},
+                env={**os.environ, "LOG_LEVEL": "info", "PYTHONDONTWRITEBYTECODE": "1"},
             )
         self.wait(SETTLED_S, "the controllers answer", self._all_answer)
 
