Log a live task that a worker's message no longer shows

Change: event=task-unreported with the versions of both messages and the token of the message. Nothing else changes.

--- a/src/ryewing/state/heartbeat_applier.py
+++ b/src/ryewing/state/heartbeat_applier.py
@@ -76,14 +76,14 @@
             return False
         if heartbeat.incarnation > machine.version.incarnation and machine.version != NO_HEARTBEAT:
             self._start_incarnation(machine, now)
-        machine.version = version
+        known_version, machine.version = machine.version, version
         machine.heard_at = now
         if heartbeat.address:
             machine.address = heartbeat.address
         if heartbeat.notice_s is not None and machine.notice_s is None:
             machine.notice_received_at = now
         machine.notice_s = heartbeat.notice_s
-        self._apply_tasks(machine, heartbeat, now)
+        self._apply_tasks(machine, heartbeat, known_version, now)
         if is_heartbeat:
             self._drop_lost_starts(machine, now)
         if machine.acknowledges:
@@ -140,11 +140,17 @@
             log.info("event=worker-suspected machine=%s reason=%s", machine.id, reason)
             self._assignments.drop_planned(machine, now)
 
-    def _apply_tasks(self, machine: Machine, heartbeat: Heartbeat, now: MonotonicTime) -> None:
+    def _apply_tasks(
+        self,
+        machine: Machine,
+        heartbeat: Heartbeat,
+        known_version: HeartbeatVersion,
+        now: MonotonicTime,
+    ) -> None:
         """Apply the reported attempts; only attempts that have changed are processed.
 
-        The first loop runs for every task of every heartbeat, so it calls no function of this
-        program.
+        `known_version` is the version of the previous message. The first loop runs for every task
+        of every heartbeat, so it calls no function of this program.
         """
         previous = machine.last_reported
         current: dict[ReportedAttemptKey, ReportedTask] = {}
@@ -157,7 +163,9 @@
         machine.last_reported = current
         # Drop missing attempts first, since a changed attempt may have replaced one of them.
         if len(previous) + len(changed) > len(current):
-            self._drop_unreported(machine, previous, current, now)
+            missing = previous.keys() - current.keys()
+            self._log_unreported(machine, missing, heartbeat, known_version)
+            self._drop_unreported(machine, missing, previous, now)
         for reported in changed:
             task = parse_task_id(reported.task_id)
             if task is None:
@@ -167,15 +175,42 @@
             elif reported.status in LIVE_PHASES:
                 self._apply_live(machine, task, reported, now)
 
+    def _log_unreported(
+        self,
+        machine: Machine,
+        missing: set[ReportedAttemptKey],
+        heartbeat: Heartbeat,
+        known_version: HeartbeatVersion,
+    ) -> None:
+        """Log each live attempt that a message does not show, with the order of the two messages.
+
+        A worker reports an attempt until a `clear`, so such a message comes from another
+        incarnation, from a worker that has restarted, or from before the attempt was started.
+        """
+        for task_id, attempt in missing:
+            task = parse_task_id(task_id)
+            assignment = machine.assignments.get(task) if task is not None else None
+            if assignment is not None and assignment.attempt == attempt:
+                log.warning(
+                    "event=task-unreported task=%s machine=%s attempt=%d version=%s known=%s "
+                    "token=%d",
+                    task,
+                    machine.id,
+                    attempt,
+                    machine.version,
+                    known_version,
+                    heartbeat.token,
+                )
+
     def _drop_unreported(
         self,
         machine: Machine,
+        missing: set[ReportedAttemptKey],
         previous: dict[ReportedAttemptKey, ReportedTask],
-        current: dict[ReportedAttemptKey, ReportedTask],
         now: MonotonicTime,
     ) -> None:
-        """Drop the attempts that the previous message showed and this one does not."""
-        for key in previous.keys() - current.keys():
+        """Drop the attempts that the previous message showed and the newest does not."""
+        for key in missing:
             machine.ended_attempts.pop(key, None)
             if previous[key].status == TaskPhase.ENDED:
                 continue
--- a/src/ryewing/units.py
+++ b/src/ryewing/units.py
@@ -70,6 +70,9 @@
     sequence: int
     """Increases with every heartbeat, and every response to a direct message."""
 
+    def __str__(self) -> str:
+        return f"{self.incarnation}.{self.sequence}"
+
 
 NO_HEARTBEAT = HeartbeatVersion(0, 0)
 """Lower than the version of any heartbeat."""
