Probe a machine whose message got no response because it looked like an old copy

What callers saw: a machine that came back after its lease had expired, with the incarnation that it had or a lower one, got no work until it was released as silent; while the cloud did not answer, never.

Cause: its incarnation counts as ended, so its messages look like old copies and get no response, which must not renew a lease. Machines without a lease are not probed either.

Change: such a message requests a probe. The probe carries a token that was never sent to the machine, so the answer counts whatever its incarnation is.

--- a/src/ryewing/leader/direct_messages.py
+++ b/src/ryewing/leader/direct_messages.py
@@ -157,11 +157,12 @@
     def probe(self, now: MonotonicTime) -> None:
         """Queue a message to each machine whose heartbeat is late or missing in this term.
 
-        Machines that can't hold tasks are skipped.
+        Machines that can't hold tasks are skipped, unless a probe of them was requested.
         """
         for machine in list(self._term.cluster.machines.values()):
             if not self._is_probe_due(machine, now):
                 continue
+            machine.probe_requested = False
             if machine.acknowledged_term and machine.id not in self._in_exchange:
                 # The worker may have restarted since its last heartbeat, and must not get a token
                 # that its earlier process has shown (see `HeartbeatVersion`).
@@ -169,6 +170,8 @@
             self.schedule(machine)
 
     def _is_probe_due(self, machine: Machine, now: MonotonicTime) -> bool:
+        if machine.probe_requested:
+            return True
         if machine.lease_expires_by is None:
             return False
         if not machine.acknowledged_term:
--- a/src/ryewing/leader/heartbeats.py
+++ b/src/ryewing/leader/heartbeats.py
@@ -106,6 +106,8 @@
         if not fresh:
             self._raise_token_of_restarted(machine, heartbeat)
             if machine.heard_at is not None and now - machine.heard_at > STALE_HEARTBEAT_AFTER_S:
+                # No worker that continues waits for this response; a restarted one is probed.
+                machine.probe_requested = True
                 return None
         if not machine.recorded or (fresh and new_address):
             self._writer.record_machine(machine.id)
--- a/src/ryewing/state/machine.py
+++ b/src/ryewing/state/machine.py
@@ -158,6 +158,7 @@
         "machine_type",
         "notice_received_at",
         "notice_s",
+        "probe_requested",
         "quarantined",
         "recorded",
         "relative_run_time",
@@ -212,6 +213,9 @@
     """How many times its token was bumped in this term."""
     token_bumped_at: MonotonicTime | None
     """When its token was last bumped to request an early heartbeat."""
+    probe_requested: bool
+    """Whether a message that may come from a restarted worker got no response: a direct message
+    shows whether it does."""
 
     # Availability for new work.
     being_released: bool
@@ -280,6 +284,7 @@
         self.unacknowledged_since = None
         self.token_bumps = 0
         self.token_bumped_at = None
+        self.probe_requested = False
 
         self.being_released = False
         self.cordoned = False
--- a/tests/leader/test_restarted_workers.py
+++ b/tests/leader/test_restarted_workers.py
@@ -13,6 +13,7 @@
 from support.harness import LeaderHarness, starts
 from support.scenarios import start_leader
 from support.simulated_cluster import SimulatedCluster
+from support.timed_workers import CONTROLLERS
 
 from ryewing.state.attempts import TaskPhase
 from ryewing.units import MachineId
@@ -21,6 +22,7 @@
 TIMES = settings().params.workers
 HEARTBEATS_BEFORE = 8
 """Heartbeats before the restart: their copies have higher sequences than the first ones after."""
+OF_USE_WITHIN_S = 10.0
 
 every_restart = pytest.mark.parametrize(
     ("keeps_counters", "keeps_token"),
@@ -200,6 +202,34 @@
     assert machine.is_schedulable()
 
 
+@every_restart
+@pytest.mark.parametrize("away_s", [0.0, 5.0, TIMES.lease_s + 5.0])
+@pytest.mark.parametrize("copied", [False, True], ids=["", "copies_each_second"])
+def test_a_machine_that_is_back_gets_work_within_seconds(
+    cluster: SimulatedCluster,
+    keeps_counters: bool,
+    keeps_token: bool,
+    away_s: float,
+    copied: bool,
+) -> None:
+    """After its lease had expired, a worker with new counters was neither answered nor probed."""
+    worker = start_leader(cluster)
+    cluster.cloud_down = True  # the silent machine is not released
+    cluster.run(20.0)
+    late = copy.deepcopy(worker.send_heartbeat())
+    worker.hangs = True
+    cluster.run(away_s)
+    worker.hangs = False
+    worker.restart(keeps_counters, keeps_token)
+    cluster.submit(CONTROLLERS[0])
+    for _ in range(round(OF_USE_WITHIN_S)):
+        if copied:
+            cluster.send_heartbeat_to_all(late)
+        cluster.run(1.0)
+    assert worker.tasks
+    assert cluster.violations_after_settling() == []
+
+
 @every_restart
 @pytest.mark.parametrize("restarts", [1, 2])
 def test_copies_during_an_election_do_not_start_a_running_task_again(
