Answer a reclaim notice on a machine with a waiting and a planned member of one gang

What callers saw: one heartbeat got 503, with a KeyError in the log.

Cause: the notice evicts the waiting member, which drops the planned one of the same gang; the loop in HeartbeatEffects.apply then dropped it again.

Change: the loop passes over assignments that are no longer on the machine.

Measured: the new test fails with the KeyError before and passes now.

--- a/src/ryewing/leader/heartbeat_effects.py
+++ b/src/ryewing/leader/heartbeat_effects.py
@@ -37,6 +37,8 @@
         if self._term.job_table.dirty:
             self._term.writes_needed.set()
         for assignment in list(machine.assignments.values()):
+            if machine.assignments.get(assignment.task) is not assignment:
+                continue  # dropped when another member of its gang was evicted
             if assignment.phase == TaskPhase.PLANNED:
                 if machine.notice_s is not None:
                     self._term.cluster.drop(assignment, now)
