Simulated cluster: send direct messages after the loop that scheduled them

Cause: the simulation sent a direct message in the middle of the decision that scheduled it, so applying the answer could change what was being looped over (a KeyError or a changed set in random runs). The service queues these messages and sends them from other greenlets.

Change: they are queued, and sent once the loop or the request that scheduled them has returned.

--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -3,7 +3,7 @@
 The controllers run the real code, and their store records, heartbeats, peer messages and user
 requests are encoded as in production. The store, the network and the workers are simulated, and
 faults can be injected into them. There are no sockets, no latency and no greenlets: each loop of a
-controller runs once per step, in a fixed order, and direct commands are delivered within the step.
+controller runs once per step, in a fixed order, and direct commands are delivered after each loop.
 `RuleChecker` checks responses to users and tasks on workers.
 """
 
@@ -12,6 +12,7 @@
 import io
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -34,6 +35,7 @@
 from ryewing.sharding.serve import build_coordinator
 from ryewing.sharding.settings import ShardSettings
 from ryewing.sharding.team_limits import ShardTeamLimits
+from ryewing.state.machine import Machine
 from ryewing.units import MachineId, ShardName, is_job_id, parse_task_id
 from ryewing.wire.cloud import MachineTypeList
 from ryewing.wire.jobs import GANG
@@ -64,6 +66,7 @@
             raise PeerUnavailableError("deadline")
         sent = msgspec.msgpack.decode(msgspec.msgpack.encode(request), type=Request)
         answer = cluster.nodes[self._receiver].peer_requests.handle(sent)
+        cluster.deliver_direct_messages()
         hook = cluster.before_peer_answer.pop(self._receiver, None)
         if hook is not None:
             hook()
@@ -92,6 +95,8 @@
         self.before_peer_answer: dict[str, Callable[[], None]] = {}
         """By controller, called once after it has handled a peer request, before the response."""
         self.workers: dict[str, TimedWorker] = {}
+        self._scheduled: list[tuple[Leader, Machine]] = []
+        self._delivers = False
         self.rules = RuleChecker(self)
         self.links: dict[str, StoreLink] = {}
         self.nodes: dict[str, Node] = {}
@@ -186,6 +191,7 @@
                     step()
                 except (StoreUnavailableError, CloudUnavailableError):
                     pass
+                self.deliver_direct_messages()
 
     def load(self, leader: Leader) -> bool:
         """Let a new leader load its state; return False if the store is unavailable."""
@@ -236,7 +242,26 @@
             leader.early_heartbeats.bucket = early_bucket
             leader.scheduler.rng = random.Random(int(leader.term.number))
             leader.direct_messages.workers = DirectLink(self, node.name)  # type: ignore[assignment]
-            leader.direct_messages.schedule = leader.direct_messages.send  # type: ignore[method-assign]
+            leader.direct_messages.schedule = partial(self._schedule, leader)  # type: ignore[method-assign]
+
+    def _schedule(self, leader: Leader, machine: Machine) -> None:
+        self._scheduled.append((leader, machine))
+
+    def deliver_direct_messages(self) -> None:
+        """Send the direct messages that were scheduled in the step of a leader that now ends.
+
+        The service also sends them from other greenlets, never in the middle of a decision.
+        """
+        if self._delivers:
+            return
+        self._delivers = True
+        try:
+            while self._scheduled:
+                leader, machine = self._scheduled.pop(0)
+                if not leader.term.stopped:
+                    leader.direct_messages.send(machine)
+        finally:
+            self._delivers = False
 
     def _bucket(self, bucket: TokenBucket) -> TokenBucket:
         """Return a token bucket on the test's clock, so that results do not depend on real time."""
@@ -340,6 +365,7 @@
         response = b"".join(
             self.apis[node](environ, lambda status, _headers: statuses.append(status))
         )
+        self.deliver_direct_messages()
         return int(statuses[0].split()[0]), msgspec.json.decode(response)
 
     def is_gang(self, task_id: str) -> bool:
