--- a/tests/support/cluster_verdict.py
+++ b/tests/support/cluster_verdict.py
@@ -32,9 +32,12 @@
         link.apply_delayed()
     for name in list(cluster.dead):
         cluster.boot(name)
+    cluster.late_copies.share = 0.0  # those that were made still arrive
     for worker in cluster.workers.values():
         worker.hangs = worker.heartbeats_lost = worker.replies_lost = False
         worker.unreachable.clear()
+        worker.delays_commands = False
+        worker.apply_delayed()
     cluster.run(seconds)
 
 
--- a/tests/support/divided_fleet.py
+++ b/tests/support/divided_fleet.py
@@ -33,6 +33,13 @@
         cluster.worker(f"i-{number:06d}", machine_type=machine_type, zone="abc"[number % 3])
 
 
+def replace_lost_machines(cluster: SimulatedCluster, count: int) -> None:
+    """Add machines under new names, as the cloud would, until there are `count`."""
+    while len(cluster.workers) < count:
+        number = cluster.machines_added
+        cluster.worker(f"i-{number:06d}", machine_type=("c32", "g4")[number % 2])
+
+
 def read_registry(cluster: SimulatedCluster) -> RegistrySnapshot:
     """Read the ownership records of all shards from the store, as the `shards` command does."""
     names = [shard for shard in cluster.nodes[CONTROLLERS[0]].electors if shard is not None]
--- a/tests/support/fault_injector.py
+++ b/tests/support/fault_injector.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+from support.late_copies import LateCopies
 from support.simulated_cluster import SimulatedCluster
 from support.timed_workers import CONTROLLERS, TimedWorker
 
@@ -18,6 +19,7 @@
     def __init__(self, cluster: SimulatedCluster, rng: random.Random) -> None:
         self._cluster = cluster
         self._rng = rng
+        cluster.late_copies = LateCopies(cluster, rng)
         self._faults: list[Callable[[], None]] = [
             self.kill_controller,
             self.freeze_controller,
@@ -33,12 +35,24 @@
             self.announce_spot_reclaim,
             self.end_tasks,
             self.cancel_job,
+            self.delay_commands,
+            *self._restart_faults,
         ]
 
+    @property
+    def _restart_faults(self) -> list[Callable[[], None]]:
+        """The faults that together made a leader mistake a worker's past for its present."""
+        return [self.restart_machine, self.copy_heartbeats, self.lose_replies]
+
     def inject(self) -> None:
         """Inject one randomly chosen fault; faults that are already active continue."""
         self._rng.choice(self._faults)()
 
+    def inject_restart_faults(self) -> None:
+        """Inject a restart, late copies and a machine that gets no answers, all drawn at once."""
+        for fault in self._restart_faults:
+            fault()
+
     def heal(self) -> None:
         """End each active fault with a probability of one half."""
         cluster, rng = self._cluster, self._rng
@@ -56,10 +70,14 @@
                 link.refused = link.loses_answers = False
                 if not cluster.store.down:
                     link.apply_delayed()
+        if rng.random() < 0.5:
+            cluster.late_copies.share = 0.0
         for worker in cluster.workers.values():
             if rng.random() < 0.5:
-                worker.hangs = worker.heartbeats_lost = False
+                worker.hangs = worker.heartbeats_lost = worker.replies_lost = False
                 worker.unreachable.clear()
+                worker.delays_commands = False
+                worker.apply_delayed()
 
     def _random_node(self) -> str:
         return self._rng.choice(CONTROLLERS)
@@ -112,6 +130,23 @@
         """Lose a machine's heartbeats; direct commands still reach it."""
         self._random_worker().heartbeats_lost = True
 
+    def lose_replies(self) -> None:
+        """Lose the responses and direct commands to a machine; its heartbeats arrive."""
+        self._random_worker().replies_lost = True
+
+    def delay_commands(self) -> None:
+        """Execute the direct commands to a machine only when `heal` ends the fault."""
+        self._random_worker().delays_commands = True
+
+    def restart_machine(self) -> None:
+        """End a machine, which is back at once; its worker may keep its counters and its token."""
+        keeps_counters, keeps_token = self._rng.random() < 0.25, self._rng.random() < 0.25
+        self._random_worker().restart(keeps_counters, keeps_token)
+
+    def copy_heartbeats(self) -> None:
+        """Copy half of all heartbeats; the copies arrive late."""
+        self._cluster.late_copies.share = 0.5
+
     def lose_machine(self) -> None:
         """Remove a machine if there are more than nine."""
         if len(self._cluster.workers) > 9:
--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -43,6 +43,7 @@
 from support import cluster_verdict
 from support.fakes import CPU, GPU, RAW_SETTINGS, Clock, FakeCloud, job_spec, settings, submission
 from support.harness import use_cloud
+from support.late_copies import LateCopies
 from support.rule_checker import RuleChecker
 from support.timed_store import StoreLink, TimedStore
 from support.timed_workers import CONTROLLERS, STEP_S, DirectLink, TimedWorker
@@ -95,9 +96,11 @@
         self.before_peer_answer: dict[str, Callable[[], None]] = {}
         """By controller, called once after it has handled a peer request, before the response."""
         self.workers: dict[str, TimedWorker] = {}
+        self.machines_added = 0
         self._scheduled: list[tuple[Leader, Machine]] = []
         self._delivers = False
         self.rules = RuleChecker(self)
+        self.late_copies = LateCopies(self, random.Random(1))
         self.links: dict[str, StoreLink] = {}
         self.nodes: dict[str, Node] = {}
         self.apis: dict[str, Api] = {}
@@ -152,6 +155,7 @@
             for name, node in self.nodes.items():
                 if name not in self.dead | self.frozen:
                     self._step_node(name, node)
+            self.late_copies.deliver_due()
             for worker in list(self.workers.values()):
                 worker.step()
             self.rules.check()
@@ -308,6 +312,7 @@
 
     def worker(self, name: str = "i-000001", **fields: Any) -> TimedWorker:
         """Add a machine and its worker."""
+        self.machines_added += 1
         self.workers[name] = TimedWorker(self, name, **fields)
         return self.workers[name]
 
--- a/tests/support/timed_workers.py
+++ b/tests/support/timed_workers.py
@@ -120,6 +120,7 @@
         cluster = self._cluster
         sent_at = cluster.clock()
         sent = self.heartbeat()
+        cluster.late_copies.record(sent)
         if (
             self.heartbeats_lost
             or self.node in self.unreachable
--- /dev/null
+++ b/tests/system/test_random_faults.py
@@ -0,0 +1,74 @@
+"""Random faults, restarted machines among them: no rule of the protocol may be broken.
+
+CI simulates `SEEDS_IN_CI` seeds. This command simulates more, and prints the broken rules per seed:
+
+    PYTHONPATH=src:tests python3 tests/system/test_random_faults.py FIRST_SEED COUNT
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+
+import pytest
+from support.clocks import replace_cluster_clocks
+from support.divided_fleet import (
+    MAX_WAIT_S,
+    add_machines,
+    replace_lost_machines,
+    submit_random_jobs,
+)
+from support.fault_injector import FaultInjector
+from support.simulated_cluster import SimulatedCluster
+
+SEEDS_IN_CI = 300
+ROUNDS = 20
+MACHINES = 15
+
+
+def simulate_faults(cluster: SimulatedCluster, seed: int) -> list[str]:
+    """Inject faults while jobs are submitted and end; return the violations of the rules."""
+    rng = random.Random(seed)
+    faults = FaultInjector(cluster, rng)
+    add_machines(cluster, MACHINES - 6, with_gpus=6)
+    cluster.run(6.0)
+    for number in range(ROUNDS):
+        submit_random_jobs(cluster, rng, 10 * number, 1)
+        replace_lost_machines(cluster, MACHINES)
+        if rng.random() < 0.5:
+            faults.inject_restart_faults()
+        faults.inject()
+        cluster.run(rng.choice((0.5, 1.0, 4.0, 8.0)))
+        if rng.random() < 0.5:
+            faults.heal()
+    for name in [name for name, worker in cluster.workers.items() if worker.notice_s is not None]:
+        del cluster.workers[name]  # the cloud reclaims the spot machines after their notice
+    return cluster.violations_after_settling(MAX_WAIT_S)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS_IN_CI))
+def test_restarts_copies_and_deaf_machines_break_no_rule(
+    cluster: SimulatedCluster, seed: int
+) -> None:
+    """Late copies from before a restart made leaders start running tasks a second time."""
+    assert simulate_faults(cluster, seed) == [], seed
+
+
+def main() -> int:
+    """Simulate the requested seeds, each on its own cluster; print the violations."""
+    first, count = int(sys.argv[1]), int(sys.argv[2])
+    failures = 0
+    for seed in range(first, first + count):
+        with pytest.MonkeyPatch.context() as monkeypatch:
+            violations = simulate_faults(
+                SimulatedCluster(replace_cluster_clocks(monkeypatch)), seed
+            )
+        failures += bool(violations)
+        if violations:
+            print(f"seed {seed}: {'; '.join(violations)}", flush=True)
+    print(f"{count} seeds from {first}, {failures} with a broken rule")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
