Machine: its images in a class and module of their own

Change: ImageCache (state/image_cache.py) has the images, the fetches and the constants of warmth; Machine derives from it, so no caller changes but for imports. No change of behaviour.

--- a/src/ryewing/leader/plan_applier.py
+++ b/src/ryewing/leader/plan_applier.py
@@ -11,8 +11,9 @@
 from ryewing.scheduling import Batch, Plan
 from ryewing.scheduling.plan import Reservation
 from ryewing.state.attempts import TaskPhase
+from ryewing.state.image_cache import WARM
 from ryewing.state.jobs import Job
-from ryewing.state.machine import WARM, Assignment
+from ryewing.state.machine import Assignment
 from ryewing.state.pending_terminations import TerminationReason
 from ryewing.units import (
     MAX_ATTEMPTS,
--- a/src/ryewing/scheduling/candidates.py
+++ b/src/ryewing/scheduling/candidates.py
@@ -10,8 +10,8 @@
 from ryewing.scheduling.machine_capacity import MachineCapacity
 from ryewing.scheduling.machine_suitability import fetch_s
 from ryewing.scheduling.preemption import VictimKey
+from ryewing.state.image_cache import COLD
 from ryewing.state.jobs import Job
-from ryewing.state.machine import COLD
 from ryewing.wire.jobs import JobSpec
 
 NARROWING_SHARE = 0.5
--- a/src/ryewing/scheduling/cycle_state.py
+++ b/src/ryewing/scheduling/cycle_state.py
@@ -15,8 +15,9 @@
 from ryewing.scheduling.machine_suitability import allows_machine, fetch_s
 from ryewing.scheduling.plan import Batch, BatchPart, Plan
 from ryewing.scheduling.snapshot import SchedulingSnapshot
+from ryewing.state.image_cache import COLD, FETCHING, WARM
 from ryewing.state.jobs import Job
-from ryewing.state.machine import COLD, FETCHING, WARM, MachineKind
+from ryewing.state.machine import MachineKind
 from ryewing.units import MachineId, Zone
 from ryewing.wire.jobs import SERVICE, JobSpec
 
--- a/src/ryewing/scheduling/machine_capacity.py
+++ b/src/ryewing/scheduling/machine_capacity.py
@@ -10,7 +10,8 @@
 
 from ryewing.scheduling.gpu_reserve import MIN_CPUS_PER_GPU, NO_RESERVE, GpuReserve
 from ryewing.scheduling.preemption import VictimKey
-from ryewing.state.machine import COLD, Assignment, Machine
+from ryewing.state.image_cache import COLD
+from ryewing.state.machine import Assignment, Machine
 from ryewing.state.resources import EPSILON, count_fitting
 from ryewing.wire.jobs import JobSpec
 
--- a/src/ryewing/scheduling/selection.py
+++ b/src/ryewing/scheduling/selection.py
@@ -7,8 +7,8 @@
 from ryewing.scheduling.cycle_state import Choice, CycleState
 from ryewing.scheduling.machine_capacity import MachineCapacity
 from ryewing.scheduling.machine_suitability import gpu_cost, stranded_gpus
+from ryewing.state.image_cache import COLD
 from ryewing.state.jobs import Job
-from ryewing.state.machine import COLD
 from ryewing.units import Zone
 
 PACKED_REPLICAS_MAX = 4
--- a/src/ryewing/scheduling/victims.py
+++ b/src/ryewing/scheduling/victims.py
@@ -10,8 +10,9 @@
 from ryewing.scheduling.machine_capacity import MachineCapacity
 from ryewing.scheduling.machine_suitability import stranded_gpus
 from ryewing.scheduling.preemption import lost_work_s, may_preempt, saving_s, stop_order
+from ryewing.state.image_cache import COLD, WARM
 from ryewing.state.jobs import Job
-from ryewing.state.machine import COLD, WARM, Assignment
+from ryewing.state.machine import Assignment
 from ryewing.state.resources import count_fitting
 from ryewing.units import Zone
 from ryewing.wire.jobs import JobSpec
--- a/src/ryewing/state/machine.py
+++ b/src/ryewing/state/machine.py
@@ -5,11 +5,10 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
 from typing import NamedTuple
 
 from ryewing.state.attempts import EndedAttempt, ReportedAttemptKey, TaskPhase
-from ryewing.state.image_fetches import ImageFetch
+from ryewing.state.image_cache import ImageCache
 from ryewing.state.jobs import Job
 from ryewing.units import (
     NO_BUMP,
@@ -23,30 +22,17 @@
     Zone,
 )
 from ryewing.wire.cloud import MachineType
-from ryewing.wire.jobs import JobSpec
 from ryewing.wire.workers import ReportedTask
 
 MIN_STABLE_RUN_S = 15.0
 """The run time after which the end of a replica no longer counts as a failure at startup."""
 
-# Plain integers instead of an enum, because scheduling compares and adds these values for every
-# machine that it examines.
-WARM = 0
-"""A value of `Machine.warmth`: the image is probably in the machine's cache."""
-FETCHING = 1
-"""A value of `Machine.warmth`: the machine is fetching the image for another task."""
-COLD = 2
-"""A value of `Machine.warmth`: the machine would have to fetch the image."""
-
 RELATIVE_RUN_TIME_WEIGHT = 0.2
 """The weight of one finished task in `Machine.relative_run_time`, a moving average."""
 MAX_RELATIVE_RUN_TIME = 3.0
 """The upper bound of the ratio that one task contributes to `Machine.relative_run_time`."""
 STRAGGLER_RELATIVE_RUN_TIME = 1.4
 """The value of `Machine.relative_run_time` above which a machine is a straggler."""
-MEASURABLE_FETCH_S = 5.0
-"""The expected duration below which a fetch is not measured. The leader sees the end of a fetch
-only in the next heartbeat, seconds late, so measured durations of short fetches are inaccurate."""
 
 
 class Assignment:
@@ -126,7 +112,7 @@
     spot: bool
 
 
-class Machine:
+class Machine(ImageCache):
     """A machine, which may be booting, in use, silent or about to be released.
 
     `AssignmentTable` maintains the assignments and the free resources, `HeartbeatApplier` applies
@@ -144,18 +130,14 @@
         "ended_attempts",
         "expired",
         "failed_jobs",
-        "fetches",
         "free_cpus",
         "free_gpus",
         "free_memory_gb",
         "heard_at",
         "id",
         "idle_since",
-        "images",
-        "images_in_use",
         "last_reported",
         "lease_expires_by",
-        "machine_type",
         "notice_received_at",
         "notice_s",
         "probe_requested",
@@ -174,7 +156,6 @@
 
     # Identity and type.
     id: MachineId
-    machine_type: MachineType
     zone: Zone
     spot: bool
     address: str
@@ -247,15 +228,6 @@
     ended_attempts: dict[ReportedAttemptKey, EndedAttempt]
     """Ended attempts that the worker still reports."""
 
-    # Images.
-    images: OrderedDict[str, float]
-    """Images that are probably in the worker's cache, with their sizes in GB, in order of use: the
-    most recently used image is last."""
-    images_in_use: Counter[str]
-    """The number of assignments that use each image, including images that are being fetched."""
-    fetches: dict[str, ImageFetch]
-    """Image fetches in progress according to the heartbeats, by image."""
-
     def __init__(
         self,
         machine_id: MachineId,
@@ -264,8 +236,8 @@
         spot: bool,
         now: MonotonicTime,
     ) -> None:
+        super().__init__(machine_type)
         self.id = machine_id
-        self.machine_type = machine_type
         self.zone = zone
         self.spot = spot
         self.address = ""
@@ -301,10 +273,6 @@
         self.last_reported = {}
         self.ended_attempts = {}
 
-        self.images = OrderedDict()
-        self.images_in_use = Counter()
-        self.fetches = {}
-
     @property
     def acknowledged_term(self) -> bool:
         """Whether the worker has returned a token of this term, so that it refuses older starts."""
@@ -343,47 +311,3 @@
         Different machine types and random variation change run times by 10 to 20 %.
         """
         return self.relative_run_time > STRAGGLER_RELATIVE_RUN_TIME
-
-    def record_fetch(self, spec: JobSpec, fetching: bool, now: MonotonicTime) -> float | None:
-        """Record that a task's image is being fetched, or no longer is if `fetching` is false.
-
-        At the end of a fetch that overlapped with others, return its slowdown (measured divided by
-        expected duration), else None: only overlapping fetches show whether fetches share the
-        machine's rate.
-        """
-        if fetching:
-            if spec.image not in self.fetches and spec.image not in self.images:
-                self._start_fetch(spec.image, now)
-            return None
-        fetch = self.fetches.pop(spec.image, None)
-        expected_s = spec.image_gb / max(self.machine_type.fetch_gb_per_s, 1e-3)
-        if fetch is None or fetch.exclusive or expected_s < MEASURABLE_FETCH_S:
-            return None
-        return (now - fetch.started_at) / expected_s
-
-    def _start_fetch(self, image: str, now: MonotonicTime) -> None:
-        for name in [n for n in self.fetches if not self.images_in_use[n]]:
-            del self.fetches[name]  # the worker cancels a fetch that no task waits for
-        for other in self.fetches.values():
-            other.exclusive = False
-        self.fetches[image] = ImageFetch(now, not self.fetches)
-
-    def warmth(self, image: str) -> int:
-        """Return `WARM`, `FETCHING` or `COLD`; a task starts sooner where the value is smaller."""
-        if image in self.images:
-            return WARM
-        return FETCHING if self.images_in_use[image] > 0 else COLD
-
-    def present_images(self) -> set[str]:
-        """Return the images that are not `COLD`: those probably cached or being fetched."""
-        return {*self.images, *(name for name, count in self.images_in_use.items() if count > 0)}
-
-    def record_image(self, image: str, size_gb: float) -> None:
-        """Record that the worker has the image in its cache.
-
-        Assumes that the worker evicts the least recently used images once its cache is full.
-        """
-        self.images[image] = size_gb
-        self.images.move_to_end(image)
-        while len(self.images) > 1 and sum(self.images.values()) > self.machine_type.cache_gb:
-            self.images.popitem(last=False)
--- a/tests/leader/test_leader.py
+++ b/tests/leader/test_leader.py
@@ -20,8 +20,8 @@
 from ryewing.election.identity import ProcessIdentity
 from ryewing.leader.machine_records import MACHINE_PREFIX, MachineRecord
 from ryewing.state.attempts import TaskPhase
+from ryewing.state.image_cache import COLD, WARM
 from ryewing.state.job_records import JobRecord, final_key, live_key
-from ryewing.state.machine import COLD, WARM
 from ryewing.units import KeyVersion, MachineId, NodeName, TermNumber, fencing_token
 from ryewing.wire.workers import ReportedTask
 
--- a/tests/scheduling/test_candidates.py
+++ b/tests/scheduling/test_candidates.py
@@ -15,8 +15,9 @@
 from ryewing.scheduling.preemption import may_preempt
 from ryewing.scheduling.team_quota import TeamQuota
 from ryewing.scheduling.victims import Preemptor
+from ryewing.state.image_cache import COLD
 from ryewing.state.jobs import Job
-from ryewing.state.machine import COLD, Machine
+from ryewing.state.machine import Machine
 from ryewing.units import MonotonicTime
 
 IMAGES = 6
