Doubt a worker's message that begins anew or lacks a live task, and ask with a new token

Cause: the order of messages rests on tokens that no earlier process of a worker has returned. A worker that keeps its token and not its counters, after reports that were lost, breaks this: a copy of a lost report is newer by its version than all that the present process sends.

Change: a message whose counters began anew, or that lacks a live attempt without a new incarnation, is doubted. The leader raises the token, asks the worker by a direct message, and ignores all messages until one shows the raised token, which was composed after the doubt arose.

--- a/src/ryewing/leader/direct_messages.py
+++ b/src/ryewing/leader/direct_messages.py
@@ -122,23 +122,22 @@
         incarnation = max(1, machine.version.incarnation)
         for _ in range(MAX_MESSAGES_PER_EXCHANGE):
             token = self._term.cluster.token(machine)
-            known_version = machine.version
+            known_version, process_bump = machine.version, machine.process_bump
             heartbeat = self.workers.send(machine.address, token, incarnation, commands)
             if heartbeat.machine != machine.id:
                 return
             if term_of_token(heartbeat.token) > self._term.number:
                 self._term.end(TermEndReason.LATER_TOKEN)
                 return
-            restarted = self._has_restarted(machine, heartbeat, known_version)
-            if restarted:
+            if self._has_lost_counters(machine, heartbeat, known_version):
                 self._term.cluster.require_new_token(machine, monotonic_now())
             else:
                 self._apply_answer(machine, heartbeat)
-            if heartbeat.incarnation == incarnation and not restarted:
+            if heartbeat.incarnation == incarnation and machine.process_bump == process_bump:
                 return
             incarnation = heartbeat.incarnation
 
-    def _has_restarted(
+    def _has_lost_counters(
         self, machine: Machine, heartbeat: Heartbeat, known_version: HeartbeatVersion
     ) -> bool:
         """Return whether an answer shows that the worker has lost its counters in a restart.
--- a/src/ryewing/state/heartbeat_applier.py
+++ b/src/ryewing/state/heartbeat_applier.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Mapping
 
 from ryewing.state.assignment_table import AssignmentTable
 from ryewing.state.attempts import (
@@ -46,9 +47,27 @@
     return HeartbeatVersion(bump, heartbeat.incarnation, heartbeat.sequence)
 
 
-def _shows_restart(known: HeartbeatVersion, newer: HeartbeatVersion) -> bool:
-    """Return whether a worker that had returned a token of this term has lost its counters."""
-    return known.token_bump > NO_BUMP and newer[1:] <= known[1:]
+def _shows_restart(
+    machine: Machine,
+    version: HeartbeatVersion,
+    current: Mapping[ReportedAttemptKey, ReportedTask],
+) -> bool:
+    """Return whether a newer message is not from the process that the newest known one is from.
+
+    Its counters began anew, or it lacks a live attempt that the process would report until a
+    `clear` or the end of its incarnation. It may also be a late message of an earlier process.
+    """
+    known = machine.version
+    if known.token_bump < max(machine.process_bump, 0):
+        return False  # no message of the present process is known
+    if version[1:] <= known[1:]:
+        return True
+    if version.incarnation > known.incarnation or machine.last_reported.keys() <= current.keys():
+        return False
+    return any(
+        key not in current and reported.status != TaskPhase.ENDED
+        for key, reported in machine.last_reported.items()
+    )
 
 
 class HeartbeatApplier:
@@ -78,14 +97,21 @@
         because it may arrive before the worker has processed the response.
         """
         version = version_in_term(heartbeat, self._term)
-        if version <= machine.version or machine.expired.covers(version):
+        if (
+            version <= machine.version
+            or version.token_bump < machine.process_bump
+            or machine.expired.covers(version)
+        ):
+            return False
+        current = {(task.task_id, task.attempt): task for task in heartbeat.tasks}
+        if _shows_restart(machine, version, current):
+            self.require_new_token(machine, now)
+            machine.probe_requested = is_heartbeat
             return False
         machine.acknowledged_bump = max(machine.acknowledged_bump, version.token_bump)
         machine.token_bumps = max(machine.token_bumps, machine.acknowledged_bump)
         if heartbeat.incarnation > machine.version.incarnation and machine.version != NO_HEARTBEAT:
             self._start_incarnation(machine, now)
-        if _shows_restart(machine.version, version):
-            log.info("event=worker-restarted machine=%s", machine.id)
         known_version, machine.version = machine.version, version
         machine.heard_at = now
         if heartbeat.address:
@@ -93,7 +119,7 @@
         if heartbeat.notice_s is not None and machine.notice_s is None:
             machine.notice_received_at = now
         machine.notice_s = heartbeat.notice_s
-        self._apply_tasks(machine, heartbeat, known_version, now)
+        self._apply_tasks(machine, current, known_version, now)
         if is_heartbeat:
             self._drop_lost_starts(machine, now)
         if machine.acknowledges:
@@ -111,7 +137,7 @@
         """
         log.info("event=worker-restarted machine=%s", machine.id)
         machine.token_bumps += 1
-        machine.required_bump = machine.token_bumps
+        machine.required_bump = machine.process_bump = machine.token_bumps
         self._assignments.drop_planned(machine, now)
 
     def _start_incarnation(self, machine: Machine, now: MonotonicTime) -> None:
@@ -152,23 +178,17 @@
     def _apply_tasks(
         self,
         machine: Machine,
-        heartbeat: Heartbeat,
+        current: dict[ReportedAttemptKey, ReportedTask],
         known_version: HeartbeatVersion,
         now: MonotonicTime,
     ) -> None:
         """Apply the reported attempts; only attempts that have changed are processed.
 
-        `known_version` is the version of the previous message. The first loop runs for every task
-        of every heartbeat, so it calls no function of this program.
+        `known_version` is the version of the previous message. Every task of every heartbeat is
+        compared, so this calls no function of this program for it.
         """
         previous = machine.last_reported
-        current: dict[ReportedAttemptKey, ReportedTask] = {}
-        changed: list[ReportedTask] = []
-        for reported in heartbeat.tasks:
-            key = (reported.task_id, reported.attempt)
-            current[key] = reported
-            if previous.get(key) != reported:
-                changed.append(reported)
+        changed = [reported for key, reported in current.items() if previous.get(key) != reported]
         machine.last_reported = current
         # Drop missing attempts first, since a changed attempt may have replaced one of them.
         if len(previous) + len(changed) > len(current):
--- a/src/ryewing/state/machine.py
+++ b/src/ryewing/state/machine.py
@@ -141,6 +141,7 @@
         "notice_received_at",
         "notice_s",
         "probe_requested",
+        "process_bump",
         "quarantined",
         "recorded",
         "relative_run_time",
@@ -187,6 +188,9 @@
     required_bump: int
     """The token bump that the worker has to return before it gets work, because only a returned
     token proves that the leader's responses reach the worker."""
+    process_bump: int
+    """The lowest bump that shows a message of the worker's present process, after a restart was
+    seen. Messages with a lower one may come from an earlier process, and are ignored."""
     unacknowledged_since: MonotonicTime | None
     """Since when heartbeats have arrived without the required token bump; None if it is
     acknowledged."""
@@ -195,8 +199,8 @@
     token_bumped_at: MonotonicTime | None
     """When its token was last bumped to request an early heartbeat."""
     probe_requested: bool
-    """Whether a message that may come from a restarted worker got no response: a direct message
-    shows whether it does."""
+    """Whether a heartbeat may come from a restarted worker: the answer to a direct message shows
+    whether it does."""
 
     # Availability for new work.
     being_released: bool
@@ -253,6 +257,7 @@
 
         self.acknowledged_bump = NO_BUMP
         self.required_bump = 0
+        self.process_bump = NO_BUMP
         self.unacknowledged_since = None
         self.token_bumps = 0
         self.token_bumped_at = None
--- a/tests/leader/test_restarted_workers.py
+++ b/tests/leader/test_restarted_workers.py
@@ -71,6 +71,19 @@
         harness.exchange(worker)
 
 
+def check_that_a_sent_start_is_kept(
+    harness: LeaderHarness, worker: FakeWorker, late: Heartbeat
+) -> None:
+    """Send a start; a late message arrives before the worker has got the response."""
+    harness.accept(task_count=3, cpus=20.0)
+    harness.place()
+    answer = harness.leader.on_heartbeat(worker.heartbeat())
+    assert answer is not None
+    assert len(starts(answer.commands)) == 1
+    harness.leader.on_heartbeat(copy.deepcopy(late))
+    assert list(harness.assignments(worker.name).values()) == [TaskPhase.SENT]
+
+
 def deliver_copies(harness: LeaderHarness, copies: list[Heartbeat], worker: FakeWorker) -> None:
     """Deliver late copies, each followed by a heartbeat of the worker and a scheduling cycle."""
     for late in copies:
@@ -112,15 +125,7 @@
     late = last_heartbeat_before_a_restart(harness, restarted)
     restarted.restart(keeps_counters, keeps_token)
     reconnect(harness, restarted, answers_probe=True)
-    harness.accept(task_count=3, cpus=20.0)
-    harness.place()
-    answer = harness.leader.on_heartbeat(restarted.heartbeat())
-    assert answer is not None
-    assert len(starts(answer.commands)) == 1
-    harness.leader.on_heartbeat(copy.deepcopy(late))
-    assert list(harness.assignments(restarted.name).values()) == [TaskPhase.SENT]
-    restarted.execute(answer.token, answer.commands)
-    assert len(restarted.tasks) == 1
+    check_that_a_sent_start_is_kept(harness, restarted, late)
 
 
 @every_restart
@@ -146,8 +151,9 @@
     assert list(harness.assignments(restarted.name).values()) == [TaskPhase.RUNNING]
 
 
+@pytest.mark.parametrize("in_flight", [False, True])
 def test_a_probe_gives_a_silent_worker_a_token_that_its_earlier_process_never_had(
-    harness: LeaderHarness,
+    harness: LeaderHarness, in_flight: bool
 ) -> None:
     """Reports of a young process, held back since before the restart, had the higher sequences, and
     the probe had given the new process the same token."""
@@ -163,6 +169,35 @@
         harness.exchange(worker)
     machine = harness.leader.term.cluster.machines[MachineId(restarted.name)]
     machine.token_bumped_at = harness.clock()  # no early heartbeat raises the token
+    if in_flight:
+        check_that_a_sent_start_is_kept(harness, restarted, held_back[-1])
+        return
+    fill_all_but_the_spare(harness, spare)
+    deliver_copies(harness, held_back[-5:], restarted)
+    assert starts(harness.exchange(spare)) == []
+    assert list(harness.assignments(restarted.name).values()) == [TaskPhase.RUNNING]
+
+
+@pytest.mark.parametrize(("new_term", "in_flight"), [(False, False), (True, False), (False, True)])
+def test_lost_reports_with_the_token_of_the_present_process_do_not_start_a_task_again(
+    harness: LeaderHarness, new_term: bool, in_flight: bool
+) -> None:
+    """An earlier process had returned the token, in reports that arrive only after the restart, and
+    the worker kept the token. No version can order these; a task that vanishes is doubted."""
+    restarted, _, spare = harness.ready_workers(3)
+    if new_term:
+        harness.new_leader(6)
+    machine = harness.leader.term.cluster.machines[MachineId(restarted.name)]
+    machine.token_bumps += not new_term  # a direct message whose answer is lost
+    restarted.token = int(harness.leader.term.cluster.token(machine))
+    held_back = [restarted.heartbeat() for _ in range(5 * HEARTBEATS_BEFORE)]
+    restarted.restart(keeps_token=True)
+    for worker in list(harness.workers.values()) * 3:
+        harness.exchange(worker)
+    machine.token_bumped_at = harness.clock()  # no early heartbeat raises the token
+    if in_flight:
+        check_that_a_sent_start_is_kept(harness, restarted, held_back[-1])
+        return
     fill_all_but_the_spare(harness, spare)
     deliver_copies(harness, held_back[-5:], restarted)
     assert starts(harness.exchange(spare)) == []
