--- a/tests/leader/test_restarted_workers.py
+++ b/tests/leader/test_restarted_workers.py
@@ -93,6 +93,16 @@
         harness.exchange(worker)
 
 
+def check_that_a_running_task_is_kept(
+    harness: LeaderHarness, worker: FakeWorker, spare: FakeWorker, late: list[Heartbeat]
+) -> None:
+    """Run a task on the worker; late messages arrive that do not show it."""
+    fill_all_but_the_spare(harness, spare)
+    deliver_copies(harness, late, worker)
+    assert starts(harness.exchange(spare)) == []
+    assert list(harness.assignments(worker.name).values()) == [TaskPhase.RUNNING]
+
+
 @every_restart
 @pytest.mark.parametrize("answers_probe", [True, False], ids=["probe", "heartbeats"])
 @pytest.mark.parametrize("restarts", [1, 2])
@@ -110,10 +120,7 @@
         copies.append(last_heartbeat_before_a_restart(harness, restarted))
         restarted.restart(keeps_counters, keeps_token)
         reconnect(harness, restarted, answers_probe or (keeps_token and not keeps_counters))
-    fill_all_but_the_spare(harness, spare)
-    deliver_copies(harness, copies * 5, restarted)
-    assert starts(harness.exchange(spare)) == []
-    assert list(harness.assignments(restarted.name).values()) == [TaskPhase.RUNNING]
+    check_that_a_running_task_is_kept(harness, restarted, spare, copies * 5)
 
 
 @every_restart
@@ -171,11 +178,8 @@
     machine.token_bumped_at = harness.clock()  # no early heartbeat raises the token
     if in_flight:
         check_that_a_sent_start_is_kept(harness, restarted, held_back[-1])
-        return
-    fill_all_but_the_spare(harness, spare)
-    deliver_copies(harness, held_back[-5:], restarted)
-    assert starts(harness.exchange(spare)) == []
-    assert list(harness.assignments(restarted.name).values()) == [TaskPhase.RUNNING]
+    else:
+        check_that_a_running_task_is_kept(harness, restarted, spare, held_back[-5:])
 
 
 @pytest.mark.parametrize(("new_term", "in_flight"), [(False, False), (True, False), (False, True)])
@@ -197,11 +201,8 @@
     machine.token_bumped_at = harness.clock()  # no early heartbeat raises the token
     if in_flight:
         check_that_a_sent_start_is_kept(harness, restarted, held_back[-1])
-        return
-    fill_all_but_the_spare(harness, spare)
-    deliver_copies(harness, held_back[-5:], restarted)
-    assert starts(harness.exchange(spare)) == []
-    assert list(harness.assignments(restarted.name).values()) == [TaskPhase.RUNNING]
+    else:
+        check_that_a_running_task_is_kept(harness, restarted, spare, held_back[-5:])
 
 
 @pytest.mark.parametrize("sequences_below_known", [1, 0])
